Design page, core and HTTP libraries, build and checks

Cause: the repository was empty. The design page states the requirements, the mechanisms and the interfaces that the other libraries are built to.

Ruled out: cpp-httplib's server on the daemon's listeners, since it holds a thread for each connection and polls each kept-alive one; Boost.Beast, since it needs Boost.Asio and the project is on standalone Asio.

Before: nothing.

Conclusion: the other libraries can be written in parallel.

--- /dev/null
+++ b/src/core/errorkind.h
@@ -0,0 +1,71 @@
+#ifndef HIBISCUS_CORE_ERRORKIND_H
+#define HIBISCUS_CORE_ERRORKIND_H
+
+#include <optional>
+#include <string_view>
+
+#include <tl/expected.hpp>
+
+namespace Hibiscus
+{
+
+/** What a caller is told about its request. */
+enum class Outcome {
+    Completed, ///< The backend server's whole answer is passed on, whatever its status.
+    NotRun, ///< No backend server ran the request, nor will run it.
+    Unknown, ///< The request may have run; it will not be run again if it is not idempotent.
+};
+
+/** Closed list of the reasons why a request has no answer of a backend server. */
+enum class ErrorKind {
+    BadRequest,
+    UnknownService,
+    BodyTooLarge,
+    IdentityRequired,
+    IdentityMismatch,
+    Overloaded,
+    Draining,
+    Quarantined,
+    DeadlineBeforeRun,
+    AttemptsExhausted,
+    NoServer,
+    Unreachable,
+    RulesNotFresh,
+    ServerRefused,
+    InProgress,
+    IdentityExpired,
+    ArbiterLost,
+    ConnectionLost,
+    ServerCrashed,
+    DeadlineExceeded,
+    Cancelled,
+    Internal,
+};
+
+/** How an error kind is answered. */
+struct ErrorAnswer {
+    ErrorKind kind;
+    std::string_view name; ///< Value of the Hibiscus-Error header.
+    int httpStatus;
+    Outcome outcome;
+    bool otherServerMayBeTried; ///< The request did not run here, and another server might take it.
+};
+
+/** Table from error kind to answer. */
+const ErrorAnswer &answerFor(ErrorKind kind);
+
+/** Error kind of a Hibiscus-Error header; empty if the name is not in the list. */
+std::optional<ErrorKind> errorKindFromName(std::string_view name);
+
+/** Value of the Hibiscus-Outcome header. */
+std::string_view outcomeName(Outcome outcome);
+
+/** Outcome of a Hibiscus-Outcome header; empty if the name is not in the list. */
+std::optional<Outcome> outcomeFromName(std::string_view name);
+
+template<class T>
+using Result = tl::expected<T, ErrorKind>;
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/src/core/ids.h
@@ -0,0 +1,34 @@
+#ifndef HIBISCUS_CORE_IDS_H
+#define HIBISCUS_CORE_IDS_H
+
+#include "core/strongid.h"
+
+#include <cstdint>
+#include <string>
+
+namespace Hibiscus
+{
+
+/** Name of a backend server in the inventory. */
+using ServerName = StrongId<struct ServerNameTag, std::string>;
+/** Name of a service in the inventory. */
+using ServiceName = StrongId<struct ServiceNameTag, std::string>;
+/** Name of a failure domain in the inventory. */
+using FailureDomainName = StrongId<struct FailureDomainNameTag, std::string>;
+/** Name of a request class in the rules. */
+using ClassName = StrongId<struct ClassNameTag, std::string>;
+/** IP address and port, as "127.0.0.1:8080" or "[::1]:8080". */
+using HostAddress = StrongId<struct HostAddressTag, std::string>;
+
+/** Random number that a process draws at its start; it tells a restarted process from the one before. */
+using Incarnation = StrongId<struct IncarnationTag, std::uint64_t>;
+/** Version of the configuration object in the platform's store; 0 means none. */
+using ConfigVersion = StrongId<struct ConfigVersionTag, std::uint64_t>;
+/** Hash of a request's service, method, path and body. */
+using Signature = StrongId<struct SignatureTag, std::uint64_t>;
+/** One attempt to run a request on one backend server; unique in the deployment. */
+using AttemptId = StrongId<struct AttemptIdTag, std::uint64_t>;
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/src/core/logevent.h
@@ -0,0 +1,58 @@
+#ifndef HIBISCUS_CORE_LOGEVENT_H
+#define HIBISCUS_CORE_LOGEVENT_H
+
+#include <span>
+#include <string_view>
+
+namespace Hibiscus
+{
+
+/** Numbered log events. A number is never reused; docs/log-events.md is the catalogue. */
+enum class LogEvent {
+    DaemonStarted = 1001,
+    DaemonDraining = 1002,
+    DaemonStopped = 1003,
+    ListenerFailed = 1004,
+    PauseDetected = 1005,
+    ServerUnhealthy = 2001,
+    ServerHealthy = 2002,
+    ServerCrashed = 2003,
+    SignatureQuarantined = 2004,
+    AdmissionLevelChanged = 2101,
+    AttemptOutcomeUnknown = 2201,
+    ConnectionSilent = 2202,
+    MemberUp = 3001,
+    MemberDown = 3002,
+    AgentStarted = 3003,
+    AgentStopped = 3004,
+    DomainUnreachable = 3005,
+    ConfigurationAdopted = 3101,
+    ConfigurationConfirmed = 3102,
+    ConfigurationRejected = 3103,
+    LeaseLost = 3104,
+    LeaseRegained = 3105,
+    PlatformUnavailable = 3201,
+    PlatformAvailable = 3202,
+};
+
+enum class Severity {
+    Info,
+    Warning,
+    Error,
+};
+
+struct LogEventInfo {
+    LogEvent event;
+    std::string_view name;
+    Severity severity;
+};
+
+/** All log events, in the order of their numbers. */
+std::span<const LogEventInfo> logEvents();
+
+/** Writes one line "[number name] detail" at the severity of the event. */
+void logEvent(LogEvent event, std::string_view detail);
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/src/core/manualclock.h
@@ -0,0 +1,29 @@
+#ifndef HIBISCUS_CORE_MANUALCLOCK_H
+#define HIBISCUS_CORE_MANUALCLOCK_H
+
+#include "core/clock.h"
+
+namespace Hibiscus
+{
+
+/** Clock that only moves when told to, for tests. */
+class ManualClock : public Clock
+{
+public:
+    TimePoint now() const override
+    {
+        return now_;
+    }
+
+    void advance(Millis duration)
+    {
+        now_ = now_ + duration;
+    }
+
+private:
+    TimePoint now_{1000};
+};
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/src/core/randomsource.h
@@ -0,0 +1,59 @@
+#ifndef HIBISCUS_CORE_RANDOMSOURCE_H
+#define HIBISCUS_CORE_RANDOMSOURCE_H
+
+#include <cstdint>
+#include <random>
+
+namespace Hibiscus
+{
+
+/** Source of random numbers. Decision libraries take it from outside, so that tests can fix the seed. */
+class RandomSource
+{
+public:
+    virtual ~RandomSource() = default;
+
+    /** Uniformly distributed 64 bits. */
+    virtual std::uint64_t next() = 0;
+
+    /** Uniform index in [0, count). @p count must be positive. */
+    std::uint64_t below(std::uint64_t count)
+    {
+        return next() % count;
+    }
+};
+
+/** Pseudo-random sequence of a given seed. */
+class SeededRandom : public RandomSource
+{
+public:
+    explicit SeededRandom(std::uint64_t seed)
+        : engine_(seed)
+    {
+    }
+
+    std::uint64_t next() override
+    {
+        return engine_();
+    }
+
+private:
+    std::mt19937_64 engine_;
+};
+
+/** Random numbers of the operating system, for incarnations. */
+class DeviceRandom : public RandomSource
+{
+public:
+    std::uint64_t next() override
+    {
+        return (static_cast<std::uint64_t>(device_()) << 32U) | device_();
+    }
+
+private:
+    std::random_device device_;
+};
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/src/http/answerparser.cpp
@@ -0,0 +1,115 @@
+#include "http/answerparser.h"
+
+#include <utility>
+
+namespace Hibiscus
+{
+
+namespace
+{
+
+AnswerParser *self(http_parser *parser)
+{
+    return static_cast<AnswerParser *>(parser->data);
+}
+
+} // namespace
+
+AnswerParser::AnswerParser(std::size_t maximumBodyBytes)
+    : maximumBodyBytes_(maximumBodyBytes)
+{
+    http_parser_init(&parser_, HTTP_RESPONSE);
+    parser_.data = this;
+    http_parser_settings_init(&callbacks_);
+    callbacks_.on_header_field = &AnswerParser::onHeaderField;
+    callbacks_.on_header_value = &AnswerParser::onHeaderValue;
+    callbacks_.on_headers_complete = &AnswerParser::onHeadersComplete;
+    callbacks_.on_body = &AnswerParser::onBody;
+    callbacks_.on_message_complete = &AnswerParser::onMessageComplete;
+}
+
+AnswerParser::State AnswerParser::feed(std::string_view bytes)
+{
+    const std::size_t parsed = http_parser_execute(&parser_, &callbacks_, bytes.data(), bytes.size());
+    if (complete_ && parsed < bytes.size()) {
+        // Bytes after the answer belong to no request of ours; the connection can't be trusted any more.
+        keepAlive_ = false;
+    } else if (parsed != bytes.size() || parser_.upgrade) {
+        malformed_ = true;
+    }
+    return state();
+}
+
+AnswerParser::State AnswerParser::finish()
+{
+    http_parser_execute(&parser_, &callbacks_, nullptr, 0);
+    malformed_ = malformed_ || !complete_;
+    return state();
+}
+
+AnswerParser::State AnswerParser::state() const
+{
+    if (malformed_) {
+        return State::Malformed;
+    }
+    return complete_ ? State::Complete : State::Incomplete;
+}
+
+bool AnswerParser::keepAlive() const
+{
+    return keepAlive_;
+}
+
+HttpResponse AnswerParser::takeResponse()
+{
+    return std::move(response_);
+}
+
+void AnswerParser::flushHeader()
+{
+    if (inValue_) {
+        response_.headers.add(std::exchange(fieldName_, {}), std::exchange(fieldValue_, {}));
+        inValue_ = false;
+    }
+}
+
+int AnswerParser::onHeaderField(http_parser *parser, const char *data, std::size_t size)
+{
+    self(parser)->flushHeader();
+    self(parser)->fieldName_.append(data, size);
+    return 0;
+}
+
+int AnswerParser::onHeaderValue(http_parser *parser, const char *data, std::size_t size)
+{
+    self(parser)->inValue_ = true;
+    self(parser)->fieldValue_.append(data, size);
+    return 0;
+}
+
+int AnswerParser::onHeadersComplete(http_parser *parser)
+{
+    self(parser)->flushHeader();
+    self(parser)->response_.status = static_cast<int>(parser->status_code);
+    return 0;
+}
+
+int AnswerParser::onBody(http_parser *parser, const char *data, std::size_t size)
+{
+    std::string &body = self(parser)->response_.body;
+    if (body.size() + size > self(parser)->maximumBodyBytes_) {
+        return 1;
+    }
+    body.append(data, size);
+    return 0;
+}
+
+int AnswerParser::onMessageComplete(http_parser *parser)
+{
+    self(parser)->complete_ = true;
+    self(parser)->keepAlive_ = http_should_keep_alive(parser) != 0;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/src/http/answerparser.h
@@ -0,0 +1,58 @@
+#ifndef HIBISCUS_HTTP_ANSWERPARSER_H
+#define HIBISCUS_HTTP_ANSWERPARSER_H
+
+#include "http/httpmessage.h"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+#include <http_parser.h>
+
+namespace Hibiscus
+{
+
+/** Assembles one HTTP answer from the bytes of a connection. */
+class AnswerParser
+{
+public:
+    enum class State {
+        Incomplete,
+        Complete,
+        Malformed,
+    };
+
+    explicit AnswerParser(std::size_t maximumBodyBytes);
+    AnswerParser(const AnswerParser &) = delete;
+    AnswerParser &operator=(const AnswerParser &) = delete;
+
+    State feed(std::string_view bytes);
+    /** The connection has ended. An answer without a stated length is complete only then. */
+    State finish();
+    bool keepAlive() const;
+    HttpResponse takeResponse();
+
+private:
+    static int onHeaderField(http_parser *parser, const char *data, std::size_t size);
+    static int onHeaderValue(http_parser *parser, const char *data, std::size_t size);
+    static int onHeadersComplete(http_parser *parser);
+    static int onBody(http_parser *parser, const char *data, std::size_t size);
+    static int onMessageComplete(http_parser *parser);
+    void flushHeader();
+    State state() const;
+
+    http_parser parser_{};
+    http_parser_settings callbacks_{};
+    std::size_t maximumBodyBytes_;
+    HttpResponse response_;
+    std::string fieldName_;
+    std::string fieldValue_;
+    bool inValue_ = false;
+    bool keepAlive_ = false;
+    bool complete_ = false;
+    bool malformed_ = false;
+};
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/src/http/httpclient.cpp
@@ -0,0 +1,309 @@
+#include "http/httpclient.h"
+
+#include "core/steadyclock.h"
+#include "http/answerparser.h"
+#include "http/endpoint.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+#include <asio/bind_executor.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/strand.hpp>
+#include <asio/write.hpp>
+
+namespace Hibiscus
+{
+
+namespace
+{
+
+constexpr std::size_t kReadBytes = 16384;
+/** Idle connections are dropped well before the peer's own idle timeout closes them. */
+constexpr Millis kMaximumIdle{10000};
+constexpr std::size_t kMaximumIdlePerAddress = 256;
+
+std::chrono::microseconds toChrono(Millis duration)
+{
+    return std::chrono::microseconds(static_cast<long>(std::max(0.0, duration.value) * 1000));
+}
+
+std::string serializeRequest(const HostAddress &address, const HttpRequest &request)
+{
+    std::string text;
+    text.reserve(512 + request.body.size());
+    text.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\nHost: ");
+    text.append(address.value()).append("\r\n");
+    for (const HttpHeaders::Field &field : request.headers.fields()) {
+        if (!isHopByHopHeader(field.first)) {
+            text.append(field.first).append(": ").append(field.second).append("\r\n");
+        }
+    }
+    text.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n\r\n");
+    text.append(request.body);
+    return text;
+}
+
+/** Open connection between two calls. */
+struct IdleConnection {
+    asio::ip::tcp::socket socket;
+    TimePoint since;
+};
+
+} // namespace
+
+class HttpClient::Private : public std::enable_shared_from_this<HttpClient::Private>
+{
+public:
+    explicit Private(asio::io_context &ioContext)
+        : context(ioContext)
+    {
+    }
+
+    /** Takes the most recently used open connection to @p address. */
+    std::optional<asio::ip::tcp::socket> takeIdle(const HostAddress &address)
+    {
+        const std::lock_guard lock(mutex);
+        const auto found = idle.find(address);
+        if (found == idle.end() || found->second.empty()) {
+            return std::nullopt;
+        }
+        IdleConnection connection = std::move(found->second.back());
+        found->second.pop_back();
+        if (clock.now() - connection.since > kMaximumIdle) {
+            found->second.clear();
+            return std::nullopt;
+        }
+        return std::move(connection.socket);
+    }
+
+    void putIdle(const HostAddress &address, asio::ip::tcp::socket socket)
+    {
+        const std::lock_guard lock(mutex);
+        std::vector<IdleConnection> &connections = idle[address];
+        const TimePoint now = clock.now();
+        std::erase_if(connections,
+                      [now](const IdleConnection &candidate) { return now - candidate.since > kMaximumIdle; });
+        if (connections.size() < kMaximumIdlePerAddress) {
+            connections.push_back({std::move(socket), now});
+        }
+    }
+
+    asio::io_context &context;
+    SteadyClock clock;
+    mutable std::mutex mutex;
+    std::unordered_map<HostAddress, std::vector<IdleConnection>> idle;
+};
+
+namespace
+{
+
+/** One request on one connection. All steps run on the strand of the call. */
+template<class Pool>
+class Exchange : public HttpCall, public std::enable_shared_from_this<Exchange<Pool>>
+{
+public:
+    Exchange(std::shared_ptr<Pool> pool, HostAddress address, const HttpRequest &request,
+             const HttpCallOptions &options, HttpCallback callback)
+        : pool_(std::move(pool))
+        , address_(std::move(address))
+        , options_(options)
+        , callback_(std::move(callback))
+        , strand_(asio::make_strand(pool_->context))
+        , socket_(strand_)
+        , timer_(strand_)
+        , message_(serializeRequest(address_, request))
+        , parser_(options.maximumBodyBytes)
+    {
+    }
+
+    void start()
+    {
+        if (!options_.freshConnection) {
+            if (std::optional<asio::ip::tcp::socket> idle = pool_->takeIdle(address_)) {
+                socket_ = std::move(*idle);
+                post(&Exchange::write);
+                return;
+            }
+        }
+        post(&Exchange::connect);
+    }
+
+    void cancel() override
+    {
+        post(&Exchange::fail);
+    }
+
+private:
+    void post(void (Exchange::*step)())
+    {
+        asio::post(strand_, [self = this->shared_from_this(), step] { ((*self).*step)(); });
+    }
+
+    void connect()
+    {
+        const std::optional<asio::ip::tcp::endpoint> endpoint = parseEndpoint(address_);
+        if (!endpoint) {
+            finish(tl::unexpected(TransportError::ConnectFailed));
+            return;
+        }
+        armTimer(options_.connectTimeout);
+        socket_.async_connect(*endpoint, bind([](Exchange &self, const asio::error_code &error, std::size_t) {
+            if (error) {
+                self.finish(tl::unexpected(TransportError::ConnectFailed));
+                return;
+            }
+            asio::error_code ignored;
+            self.socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+            self.write();
+        }));
+    }
+
+    void write()
+    {
+        armTimer(options_.answerTimeout);
+        failure_ = TransportError::NotWritten;
+        asio::async_write(socket_, asio::buffer(message_),
+                          bind([](Exchange &self, const asio::error_code &error, std::size_t written) {
+                              if (written == self.message_.size()) {
+                                  // From here on the other side may have the whole message.
+                                  self.failure_ = TransportError::LostAfterWrite;
+                              }
+                              if (error) {
+                                  self.fail();
+                                  return;
+                              }
+                              self.read();
+                          }));
+    }
+
+    void read()
+    {
+        socket_.async_read_some(
+            asio::buffer(buffer_),
+            bind([](Exchange &self, const asio::error_code &error, std::size_t size) { self.onRead(error, size); }));
+    }
+
+    void onRead(const asio::error_code &error, std::size_t size)
+    {
+        if (error == asio::error::eof && receivedBytes_) {
+            conclude(parser_.finish());
+            return;
+        }
+        if (error) {
+            fail();
+            return;
+        }
+        receivedBytes_ = true;
+        const AnswerParser::State state = parser_.feed(std::string_view(buffer_.data(), size));
+        if (state == AnswerParser::State::Incomplete) {
+            read();
+            return;
+        }
+        conclude(state);
+    }
+
+    void conclude(AnswerParser::State state)
+    {
+        if (state != AnswerParser::State::Complete) {
+            finish(tl::unexpected(TransportError::MalformedAnswer));
+            return;
+        }
+        if (parser_.keepAlive() && !done_) {
+            timer_.cancel();
+            pool_->putIdle(address_, std::move(socket_));
+        }
+        finish(parser_.takeResponse());
+    }
+
+    void fail()
+    {
+        finish(tl::unexpected(failure_));
+    }
+
+    void armTimer(Millis timeout)
+    {
+        timer_.expires_after(toChrono(timeout));
+        timer_.async_wait([weak = this->weak_from_this()](const asio::error_code &error) {
+            const auto self = weak.lock();
+            if (error || !self) {
+                return;
+            }
+            const bool written = self->failure_ == TransportError::LostAfterWrite;
+            self->finish(tl::unexpected(written ? TransportError::TimedOut : self->failure_));
+        });
+    }
+
+    void finish(HttpResult result)
+    {
+        if (done_) {
+            return;
+        }
+        done_ = true;
+        timer_.cancel();
+        asio::error_code ignored;
+        socket_.close(ignored);
+        HttpCallback callback = std::move(callback_);
+        callback_ = nullptr;
+        callback(std::move(result));
+    }
+
+    template<class Step>
+    auto bind(Step step)
+    {
+        return asio::bind_executor(
+            strand_, [self = this->shared_from_this(), step](const asio::error_code &error, auto... size) {
+                if (!self->done_) {
+                    step(*self, error, (std::size_t(0) + ... + size));
+                }
+            });
+    }
+
+    std::shared_ptr<Pool> pool_;
+    HostAddress address_;
+    HttpCallOptions options_;
+    HttpCallback callback_;
+    asio::strand<asio::io_context::executor_type> strand_;
+    asio::ip::tcp::socket socket_;
+    asio::steady_timer timer_;
+    std::string message_;
+    AnswerParser parser_;
+    std::array<char, kReadBytes> buffer_{};
+    TransportError failure_ = TransportError::ConnectFailed;
+    bool receivedBytes_ = false;
+    bool done_ = false;
+};
+
+} // namespace
+
+HttpClient::HttpClient(asio::io_context &context)
+    : d_(std::make_shared<Private>(context))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+std::shared_ptr<HttpCall> HttpClient::send(const HostAddress &address, HttpRequest request,
+                                           const HttpCallOptions &options, HttpCallback callback)
+{
+    auto exchange = std::make_shared<Exchange<Private>>(d_, address, request, options, std::move(callback));
+    exchange->start();
+    return exchange;
+}
+
+std::size_t HttpClient::idleConnections() const
+{
+    const std::lock_guard lock(d_->mutex);
+    std::size_t count = 0;
+    for (const auto &entry : d_->idle) {
+        count += entry.second.size();
+    }
+    return count;
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/src/http/httphandler.h
@@ -0,0 +1,26 @@
+#ifndef HIBISCUS_HTTP_HTTPHANDLER_H
+#define HIBISCUS_HTTP_HTTPHANDLER_H
+
+#include "http/httpmessage.h"
+
+#include <functional>
+
+namespace Hibiscus
+{
+
+/** Sends the answer of one request. May be called from any thread, once. */
+using HttpResponder = std::function<void(HttpResponse)>;
+
+/** Receives the requests of an HttpServer. */
+class HttpHandler
+{
+public:
+    virtual ~HttpHandler() = default;
+
+    /** Takes a whole request. Called by a worker; must not block. */
+    virtual void handle(HttpRequest request, HttpResponder respond) = 0;
+};
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/src/http/httpmessage.cpp
@@ -0,0 +1,60 @@
+#include "http/httpmessage.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace Hibiscus
+{
+
+bool sameHeaderName(std::string_view a, std::string_view b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
+}
+
+bool isHopByHopHeader(std::string_view name)
+{
+    static constexpr std::array<std::string_view, 10> kNames{
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "host",
+    };
+    return std::any_of(kNames.begin(), kNames.end(),
+                       [name](std::string_view candidate) { return sameHeaderName(candidate, name); });
+}
+
+void HttpHeaders::add(std::string name, std::string value)
+{
+    fields_.emplace_back(std::move(name), std::move(value));
+}
+
+void HttpHeaders::set(std::string_view name, std::string value)
+{
+    remove(name);
+    fields_.emplace_back(std::string(name), std::move(value));
+}
+
+void HttpHeaders::remove(std::string_view name)
+{
+    std::erase_if(fields_, [name](const Field &field) { return sameHeaderName(field.first, name); });
+}
+
+std::optional<std::string_view> HttpHeaders::find(std::string_view name) const
+{
+    for (const Field &field : fields_) {
+        if (sameHeaderName(field.first, name)) {
+            return field.second;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/src/http/httpserver.cpp
@@ -0,0 +1,120 @@
+#include "http/httpserver.h"
+
+#include "http/endpoint.h"
+
+#include <chrono>
+
+#include <restinio/all.hpp>
+
+namespace Hibiscus
+{
+
+namespace
+{
+
+/** Refuses a message over the limits before its body is read. */
+using ServerTraits = restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>;
+using Server = restinio::http_server_t<ServerTraits>;
+
+std::chrono::milliseconds toChrono(Millis duration)
+{
+    return std::chrono::milliseconds(static_cast<long>(duration.value));
+}
+
+HttpRequest readRequest(const restinio::request_handle_t &source)
+{
+    HttpRequest request;
+    request.method = source->header().method().c_str();
+    request.target = source->header().request_target();
+    request.body = source->body();
+    source->header().for_each_field(
+        [&request](const auto &field) { request.headers.add(std::string(field.name()), std::string(field.value())); });
+    return request;
+}
+
+void writeResponse(const restinio::request_handle_t &target, HttpResponse response)
+{
+    const auto status = restinio::http_status_code_t(static_cast<std::uint16_t>(response.status));
+    auto builder = target->create_response(restinio::http_status_line_t(status, "-"));
+    for (const HttpHeaders::Field &field : response.headers.fields()) {
+        if (!isHopByHopHeader(field.first)) {
+            builder.append_header(field.first, field.second);
+        }
+    }
+    builder.set_body(std::move(response.body));
+    builder.done();
+}
+
+} // namespace
+
+class HttpServer::Private
+{
+public:
+    Private(asio::io_context &ioContext, HttpServerSettings serverSettings, HttpHandler &requestHandler)
+        : context(ioContext)
+        , settings(std::move(serverSettings))
+        , handler(requestHandler)
+    {
+    }
+
+    asio::io_context &context;
+    HttpServerSettings settings;
+    HttpHandler &handler;
+    std::unique_ptr<Server> server;
+    HostAddress boundAddress;
+};
+
+HttpServer::HttpServer(asio::io_context &context, HttpServerSettings settings, HttpHandler &handler)
+    : d_(std::make_unique<Private>(context, std::move(settings), handler))
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+tl::expected<HostAddress, std::string> HttpServer::open()
+{
+    const std::optional<asio::ip::tcp::endpoint> endpoint = parseEndpoint(d_->settings.address);
+    if (!endpoint) {
+        return tl::unexpected(d_->settings.address.value() + " is not an IP address with a port");
+    }
+    restinio::incoming_http_msg_limits_t limits;
+    limits.max_body_size(d_->settings.maximumBodyBytes);
+    Private *d = d_.get();
+    try {
+        d_->server = std::make_unique<Server>(restinio::external_io_context(d_->context), [&](auto &server) {
+            server.address(endpoint->address())
+                .port(endpoint->port())
+                .protocol(endpoint->protocol())
+                .incoming_http_msg_limits(limits)
+                .read_next_http_message_timelimit(toChrono(d->settings.idleTimeout))
+                .write_http_response_timelimit(toChrono(d->settings.idleTimeout))
+                .handle_request_timeout(toChrono(d->settings.requestTimeout))
+                .socket_options_setter([](auto &options) {
+                    asio::ip::tcp::no_delay noDelay(true);
+                    options.set_option(noDelay);
+                })
+                .acceptor_post_bind_hook([d](asio::ip::tcp::acceptor &acceptor) {
+                    d->boundAddress = formatEndpoint(acceptor.local_endpoint());
+                })
+                .request_handler([d](restinio::request_handle_t request) {
+                    d->handler.handle(readRequest(request), [request](HttpResponse response) {
+                        writeResponse(request, std::move(response));
+                    });
+                    return restinio::request_accepted();
+                });
+        });
+        d_->server->open_sync();
+    } catch (const std::exception &error) {
+        return tl::unexpected(d_->settings.address.value() + ": " + error.what());
+    }
+    return d_->boundAddress;
+}
+
+void HttpServer::close()
+{
+    if (d_->server) {
+        d_->server->close_sync();
+    }
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/src/http/httpserver.h
@@ -0,0 +1,47 @@
+#ifndef HIBISCUS_HTTP_HTTPSERVER_H
+#define HIBISCUS_HTTP_HTTPSERVER_H
+
+#include "core/ids.h"
+#include "core/millis.h"
+#include "http/httphandler.h"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+#include <asio/io_context.hpp>
+#include <tl/expected.hpp>
+
+namespace Hibiscus
+{
+
+struct HttpServerSettings {
+    HostAddress address; ///< Port 0 lets the system choose one.
+    std::size_t maximumBodyBytes = 16U << 20U;
+    std::size_t maximumConnections = 4096;
+    Millis idleTimeout{60000}; ///< A connection without a byte for so long is closed.
+    Millis requestTimeout{120000}; ///< A request without an answer for so long loses its connection.
+};
+
+/** HTTP/1.1 server on a shared io_context. Hands whole requests to a handler. */
+class HttpServer
+{
+public:
+    HttpServer(asio::io_context &context, HttpServerSettings settings, HttpHandler &handler);
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    /** Binds and starts to accept. Returns the bound address, or the system's error text. */
+    tl::expected<HostAddress, std::string> open();
+    /** Stops to accept and closes all connections. */
+    void close();
+
+private:
+    class Private;
+    std::unique_ptr<Private> d_;
+};
+
+} // namespace Hibiscus
+
+#endif
