Add public headers of execution, retry and quarantine

The daemon is built against these interfaces in parallel, so they come before their implementation.

Claims and attempt grants carry a claim id: a late copy of a settlement must not settle a later claim of the same record, and a repeated return must not restore attempts twice. Callback lists of waiters were ruled out in favour of polling, since a lost waiter would leave an entry behind.

PauseSafeClock and kAttemptsPerTap are in core, as execution and retry both use them.

--- /dev/null
+++ b/src/core/attemptlimit.h
@@ -0,0 +1,12 @@
+#ifndef HIBISCUS_CORE_ATTEMPTLIMIT_H
+#define HIBISCUS_CORE_ATTEMPTLIMIT_H
+
+namespace Hibiscus
+{
+
+/** Attempts of one user action over all hops, child calls, retries and resends. */
+constexpr int kAttemptsPerTap = 64;
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/src/execution/arbiter.h
@@ -0,0 +1,180 @@
+#ifndef HIBISCUS_EXECUTION_ARBITER_H
+#define HIBISCUS_EXECUTION_ARBITER_H
+
+#include "core/attemptlimit.h"
+#include "core/errorkind.h"
+#include "core/ids.h"
+#include "core/pausesafeclock.h"
+#include "execution/answerbudget.h"
+#include "execution/requestidentity.h"
+#include "execution/storedanswer.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Hibiscus
+{
+
+/**
+ * Drawn at random by a claimant for each claim() or takeAttempts(), and reused only to repeat that call when its answer
+ * was lost. It tells messages of one claim from late copies that belong to another.
+ */
+using ClaimId = StrongId<struct ClaimIdTag, std::uint64_t>;
+
+/** Answer to a claim. */
+enum class ClaimState {
+    Granted, ///< The claimant runs the request and settles the claim.
+    Wait, ///< Another claim is running: repeat the claim until it is settled or the deadline has passed.
+    Completed, ///< Already run; the stored answer is in ClaimResult::answer.
+    Refused, ///< Must not be run; the reason is in ClaimResult::error.
+};
+
+struct ClaimResult {
+    ClaimState state = ClaimState::Refused;
+    int attempts = 0; ///< Attempts granted with the claim, at least 1 if Granted, otherwise 0.
+    StoredAnswerPtr answer; ///< Set if Completed.
+    std::optional<ErrorKind> error; ///< Set if Refused; its outcome tells whether the request may have run.
+};
+
+/** Bounds of the memory of an arbiter. */
+struct ArbiterLimits {
+    std::size_t records = 60'000; ///< Identities and call keys together.
+    std::size_t keyBytes = 512; ///< Longest call key.
+    AnswerLimits answers;
+};
+
+/**
+ * Decides which claimant may run a request, at most once for each identity and call key.
+ *
+ * A record is running, completed, not run (may be claimed again while attempts are left) or unknown (never runs again).
+ * All settlements name the claim that they settle; those of an earlier claim and repeated ones have no effect, so
+ * messages may arrive late, twice or not at all.
+ *
+ * Waiting is by polling: the arbiter keeps no list of waiters, so a waiter that is lost leaves nothing behind. A server
+ * of remote claims can hold the answer back and repeat the claim locally until it is settled.
+ *
+ * Identities expire 10 min after issue (at most 1 s later) on a clock that does not advance across pauses. When a bound
+ * of memory is reached, new claims are refused as not run; no record is dropped before its identity has expired.
+ */
+class Arbiter
+{
+public:
+    static constexpr Millis kIdentityLifetime{10.0 * 60 * 1000};
+
+    /** @p clock is a plain monotonic clock and must outlive this object. */
+    Arbiter(HostAddress address, Incarnation incarnation, const Clock &clock, const ArbiterLimits &limits = {});
+
+    /** Issues an identity. It takes no memory until it is claimed. */
+    RequestIdentity issue();
+
+    /**
+     * Claims the execution of a request. The call key is empty for the root request.
+     *
+     * A granted claim includes min(@p wantedAttempts, attempts left) attempts, at least 1. Refusals: ArbiterLost
+     * (another arbiter or incarnation), BadRequest (never issued, key too long), IdentityExpired, IdentityMismatch
+     * (other content), AttemptsExhausted, Overloaded (memory bound), Internal (claim id already settled, or an answer
+     * too large to store), or the reason given to markUnknown(). Repeating a running claim with the same id is granted
+     * again with the same attempts.
+     */
+    ClaimResult claim(const RequestIdentity &identity, const std::string &callKey, Signature content, ClaimId claim,
+                      int wantedAttempts = 1);
+
+    /**
+     * Settles a claim with the complete response. Also accepted after markUnknown() of the same claim. Returns whether
+     * a resend will be given the answer: false if the claim is not the current one or the answer can't be stored. In
+     * the latter case the record becomes unknown.
+     */
+    bool complete(const RequestIdentity &identity, const std::string &callKey, ClaimId claim, StoredAnswer answer);
+
+    /** Settles a running claim: the request did not run and never will under this claim. */
+    bool markNotRun(const RequestIdentity &identity, const std::string &callKey, ClaimId claim);
+
+    /**
+     * Settles a running claim: the request may have run. Later claims are refused with @p reason, or with Internal if
+     * the outcome of @p reason is not unknown. The attempts of the claim are never returned.
+     */
+    bool markUnknown(const RequestIdentity &identity, const std::string &callKey, ClaimId claim,
+                     ErrorKind reason = ErrorKind::ConnectionLost);
+
+    /**
+     * Takes up to @p wanted attempts of the user action for a call that needs no claim. Gives at least 1 or an error
+     * as claim() does. Repeating the call with the same id gives the same attempts.
+     */
+    Result<int> takeAttempts(const RequestIdentity &identity, ClaimId claim, int wanted);
+
+    /**
+     * Returns @p unused attempts of a claim() or takeAttempts() whose response was complete or whose request did not
+     * run. Effective once for each id, at most for what was given, and not after markUnknown().
+     */
+    void returnAttempts(const RequestIdentity &identity, ClaimId claim, int unused);
+
+    /** Advances the clock and forgets expired identities. To be called at least once a second. */
+    void tick();
+
+    /** Attempts that are left to the user action; 0 if the identity is not live here. */
+    int attemptsLeft(const RequestIdentity &identity) const;
+    /** Identities and call keys in memory. */
+    std::size_t recordCount() const;
+    /** Bytes of stored answers and reservations. */
+    std::size_t answerBytes() const;
+
+private:
+    enum class State {
+        Running,
+        Completed,
+        NotRun,
+        Unknown,
+    };
+
+    struct CallRecord {
+        State state = State::NotRun;
+        Signature content;
+        ClaimId claim;
+        ErrorKind unknownReason = ErrorKind::Internal;
+        StoredAnswerPtr answer;
+        std::vector<ClaimId> endedClaims; ///< Claims that ended as not run; at most kAttemptsPerTap.
+    };
+
+    struct Grant {
+        ClaimId claim;
+        int attempts;
+    };
+
+    struct IdentityRecord {
+        int attemptsLeft = kAttemptsPerTap;
+        std::vector<Grant> grants; ///< Not yet returned; each holds 1 attempt or more.
+        std::map<std::string, CallRecord> calls;
+    };
+
+    /** Identities that were issued within one second. */
+    struct IssuePeriod {
+        TimePoint start;
+        std::uint64_t firstSequence;
+    };
+
+    std::optional<ErrorKind> rejection(const RequestIdentity &identity) const;
+    CallRecord *currentCall(const RequestIdentity &identity, const std::string &callKey, ClaimId claim);
+    ClaimResult claimAnew(IdentityRecord &owner, CallRecord &call, ClaimId claim, int wantedAttempts);
+    bool isFull(std::size_t newRecords) const;
+    void releaseAnswers(const IdentityRecord &record);
+
+    HostAddress address_;
+    Incarnation incarnation_;
+    PauseSafeClock clock_;
+    ArbiterLimits limits_;
+    AnswerBudget budget_;
+    std::uint64_t nextSequence_ = 1;
+    std::uint64_t firstLiveSequence_ = 1;
+    std::deque<IssuePeriod> issuePeriods_;
+    std::map<std::uint64_t, IdentityRecord> identities_; ///< By sequence, so the oldest come first.
+    std::size_t recordCount_ = 0;
+};
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/src/execution/storedanswer.h
@@ -0,0 +1,30 @@
+#ifndef HIBISCUS_EXECUTION_STOREDANSWER_H
+#define HIBISCUS_EXECUTION_STOREDANSWER_H
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Hibiscus
+{
+
+/** Complete response of a backend server, kept for resends and outcome queries. */
+struct StoredAnswer {
+    int status = 0;
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+
+    friend bool operator==(const StoredAnswer &, const StoredAnswer &) = default;
+};
+
+/** Shared, so that a reader can send the answer after it has released the lock of the table. */
+using StoredAnswerPtr = std::shared_ptr<const StoredAnswer>;
+
+/** Memory that @p answer occupies, in bytes, without allocator overhead. */
+std::size_t storedBytes(const StoredAnswer &answer);
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/src/quarantine/crashledger.h
@@ -0,0 +1,117 @@
+#ifndef HIBISCUS_QUARANTINE_CRASHLEDGER_H
+#define HIBISCUS_QUARANTINE_CRASHLEDGER_H
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "quarantine/crashreport.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace Hibiscus
+{
+
+/** How a request of a signature may run. */
+enum class Verdict {
+    Clear, ///< Without restriction.
+    Suspect, ///< One at a time per server; see SuspectSlot.
+    Quarantined, ///< Not at all.
+};
+
+/** Bounds of the memory of a ledger. */
+struct CrashLimits {
+    std::size_t entries = 8'192; ///< Signatures summed over all reports.
+    std::size_t signaturesPerReport = 512; ///< Above the slots of any backend server.
+    std::size_t reporters = 2'048; ///< Processes whose expired reports are remembered.
+};
+
+/**
+ * Which signatures crash backend servers, as far as this process knows.
+ *
+ * The state is a set of (report, signature) entries, each of them charged or cleared. Merging unites the sets, and
+ * cleared wins over charged, so the result does not depend on the order, the path or the number of deliveries. A
+ * completion clears the entries that this process knows of; a crash it has not heard of still counts.
+ *
+ * Reports expire 30 min after the crash. For each reporter the highest expired sequence number is remembered, and
+ * reports up to it are not accepted again, so a late copy can't bring back what was cleared and forgotten. When the
+ * memory bound is reached, the oldest report expires early.
+ *
+ * The clock is a plain monotonic one: a process that was paused must not keep its reports longer than others do.
+ */
+class CrashLedger
+{
+public:
+    /** Crashes without a completion that quarantine a signature. */
+    static constexpr std::size_t kCrashesToQuarantine = 3;
+    /** Measured from the latest crash. Afterwards the signature is a suspect, and one more crash quarantines it. */
+    static constexpr Millis kQuarantine{10.0 * 60 * 1000};
+    /** Three times the quarantine, so that a request that is sent again only after its quarantine is recognized. */
+    static constexpr Millis kReportLifetime{30.0 * 60 * 1000};
+
+    /** @p clock must outlive this object. */
+    explicit CrashLedger(const Clock &clock, const CrashLimits &limits = {});
+
+    /** Verdict on a request that is about to run. */
+    Verdict check(Signature signature) const;
+
+    /**
+     * Charges one crash to each signature that was in flight. The sequence number of @p report must be above those of
+     * the earlier reports of this process. Signatures beyond CrashLimits::signaturesPerReport are left out.
+     */
+    void crashed(const std::vector<Signature> &inFlight, CrashReportId report);
+
+    /** Clears a signature after a completion; true if it was a suspect, in which case the change is to be sent. */
+    bool completed(Signature signature);
+
+    /** Takes over reports of another process; true if anything was new. */
+    bool merge(const std::vector<CrashReport> &reports);
+
+    /** Changes after @p revision (0: everything live), at most about @p maxEntries signatures. */
+    CrashDifference exportReports(std::uint64_t revision, std::size_t maxEntries = 256) const;
+
+    /** Forgets expired reports. To be called every few seconds. */
+    void tick();
+
+    /** Quarantined signatures, in ascending order. */
+    std::vector<Signature> quarantined() const;
+    /** Signatures summed over all reports. */
+    std::size_t entryCount() const;
+
+private:
+    struct Entry {
+        Signature signature;
+        bool cleared;
+        std::uint64_t revision; ///< Of the last change.
+    };
+
+    struct Report {
+        TimePoint crashedAt;
+        std::vector<Entry> entries;
+    };
+
+    using Reports = std::map<CrashReportId, Report>;
+
+    bool isForgotten(CrashReportId id) const;
+    bool apply(CrashReportId id, TimePoint crashedAt, const std::vector<Signature> &signatures, bool cleared);
+    bool applyEntry(CrashReportId id, Report &report, Signature signature, bool cleared);
+    void forget(CrashReportId id);
+    void forgetReport(Reports::iterator report);
+    void enforceLimit();
+
+    const Clock &clock_;
+    CrashLimits limits_;
+    Reports reports_;
+    std::unordered_map<Signature, std::vector<CrashReportId>> reportsOf_; ///< Reports that name a signature.
+    std::unordered_map<Incarnation, std::uint64_t> forgottenUpTo_; ///< Highest expired sequence of each reporter.
+    std::deque<Incarnation> forgottenOrder_; ///< Keys of forgottenUpTo_, oldest first.
+    std::size_t entryCount_ = 0;
+    std::uint64_t revision_ = 0;
+};
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/src/quarantine/suspectslot.h
@@ -0,0 +1,26 @@
+#ifndef HIBISCUS_QUARANTINE_SUSPECTSLOT_H
+#define HIBISCUS_QUARANTINE_SUSPECTSLOT_H
+
+#include "core/ids.h"
+
+#include <optional>
+
+namespace Hibiscus
+{
+
+/** Lets one suspect request at a time run on a backend server, so that a crash names the culprit. */
+class SuspectSlot
+{
+public:
+    /** Takes the slot for an attempt; false if another attempt holds it. */
+    bool tryTake(AttemptId attempt);
+    /** Releases the slot if the attempt holds it. */
+    void release(AttemptId attempt);
+
+private:
+    std::optional<AttemptId> holder_;
+};
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/src/retry/retrybudget.h
@@ -0,0 +1,50 @@
+#ifndef HIBISCUS_RETRY_RETRYBUDGET_H
+#define HIBISCUS_RETRY_RETRYBUDGET_H
+
+#include "core/millis.h"
+
+#include <array>
+#include <cstdint>
+
+namespace Hibiscus
+{
+
+/**
+ * Limits the retries of one daemon to one service.
+ *
+ * A token bucket of 10 tokens (full at the start): a completion adds 0.05, a retry takes 1, so retries add at most 5%
+ * in the long run. In addition no retry is made while more than 10% of the responses of the last second were
+ * load-shedding rejections.
+ */
+class RetryBudget
+{
+public:
+    /** Records a complete response. */
+    void recordCompletion(TimePoint now);
+    /** Records a load-shedding rejection. */
+    void recordShed(TimePoint now);
+    /** Takes a token for a retry; false if the retry must not be made. */
+    bool tryTakeRetry(TimePoint now);
+
+    double tokens() const;
+
+private:
+    struct Slice {
+        std::uint32_t completions = 0;
+        std::uint32_t sheds = 0;
+    };
+
+    // The current slice of 100 ms and the 10 before it cover the last second.
+    static constexpr std::size_t kSlices = 11;
+
+    Slice &currentSlice(TimePoint now);
+    bool isShedding(TimePoint now);
+
+    double tokens_ = 10;
+    std::array<Slice, kSlices> slices_;
+    std::int64_t currentIndex_ = 0;
+};
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/src/retry/retrypolicy.h
@@ -0,0 +1,44 @@
+#ifndef HIBISCUS_RETRY_RETRYPOLICY_H
+#define HIBISCUS_RETRY_RETRYPOLICY_H
+
+#include "core/errorkind.h"
+#include "core/millis.h"
+#include "retry/attemptallowance.h"
+#include "retry/retrybudget.h"
+
+#include <optional>
+
+namespace Hibiscus
+{
+
+/** What to do after a failed attempt. */
+struct RetryDecision {
+    bool retry = false; ///< Make one more attempt, on another server; its attempt and token are already taken.
+    ErrorKind answer = ErrorKind::Internal; ///< If not retried: what the caller is told. True for all attempts.
+};
+
+/** Decides on the retries of one call. One object per call, as the answer depends on all attempts of the call. */
+class RetryPolicy
+{
+public:
+    /** @p hasIdentity: whether the user action has an identity; without one no call below it is retried. */
+    RetryPolicy(bool repeatable, bool hasIdentity);
+
+    /**
+     * Decides after an attempt failed with @p kind. @p timeLeft is the time until the deadline of the call, and
+     * @p expectedDuration the usual duration of such a call; a retry that can't finish in time is not made.
+     */
+    RetryDecision decide(ErrorKind kind, Millis timeLeft, Millis expectedDuration, AttemptAllowance &allowance,
+                         RetryBudget &budget, TimePoint now);
+
+private:
+    bool mayRetry(ErrorKind kind) const;
+
+    bool repeatable_;
+    bool hasIdentity_;
+    std::optional<ErrorKind> unknownAttempt_; ///< Why the fate of an earlier attempt is unknown.
+};
+
+} // namespace Hibiscus
+
+#endif
