Implement execution, retry and quarantine

Before, only the headers existed.

The first attempt of a claim is its price and is not returned: otherwise a claimant that never dispatches could claim without end, and the claims that a record remembers would be unbounded.

--- a/src/execution/arbiter.h
+++ b/src/execution/arbiter.h
@@ -75,7 +75,8 @@
     /**
      * Claims the execution of a request. The call key is empty for the root request.
      *
-     * A granted claim includes min(@p wantedAttempts, attempts left) attempts, at least 1. Refusals: ArbiterLost
+     * A granted claim includes min(@p wantedAttempts, attempts left) attempts, at least 1; the first of them is the
+     * price of the claim and is never returned, which bounds the claims of a user action. Refusals: ArbiterLost
      * (another arbiter or incarnation), BadRequest (never issued, key too long), IdentityExpired, IdentityMismatch
      * (other content), AttemptsExhausted, Overloaded (memory bound), Internal (claim id already settled, or an answer
      * too large to store), or the reason given to markUnknown(). Repeating a running claim with the same id is granted
@@ -143,9 +144,13 @@
     struct Grant {
         ClaimId claim;
         int attempts;
+        bool ofClaim; ///< Given by claim(), so one attempt is not returned.
     };
 
     struct IdentityRecord {
+        int take(ClaimId claim, int wanted, bool ofClaim);
+        std::vector<Grant>::iterator findGrant(ClaimId claim);
+
         int attemptsLeft = kAttemptsPerTap;
         std::vector<Grant> grants; ///< Not yet returned; each holds 1 attempt or more.
         std::map<std::string, CallRecord> calls;
@@ -159,9 +164,13 @@
 
     std::optional<ErrorKind> rejection(const RequestIdentity &identity) const;
     CallRecord *currentCall(const RequestIdentity &identity, const std::string &callKey, ClaimId claim);
-    ClaimResult claimAnew(IdentityRecord &owner, CallRecord &call, ClaimId claim, int wantedAttempts);
-    bool isFull(std::size_t newRecords) const;
-    void releaseAnswers(const IdentityRecord &record);
+    ClaimResult claimKnown(IdentityRecord &owner, CallRecord &call, Signature content, ClaimId claim,
+                           int wantedAttempts);
+    ClaimResult claimNew(std::uint64_t sequence, const std::string &callKey, Signature content, ClaimId claim,
+                         int wantedAttempts);
+    ClaimResult start(IdentityRecord &owner, CallRecord &call, ClaimId claim, int wantedAttempts);
+    bool hasRoom(std::size_t newRecords) const;
+    void forgetOldest();
 
     HostAddress address_;
     Incarnation incarnation_;
--- /dev/null
+++ b/src/execution/attempttable.cpp
@@ -0,0 +1,141 @@
+#include "execution/attempttable.h"
+
+#include <utility>
+
+namespace Hibiscus
+{
+
+AttemptTable::AttemptTable(Incarnation incarnation, const Clock &clock, const AttemptLimits &limits)
+    : incarnation_(incarnation)
+    , clock_(clock)
+    , limits_(limits)
+    , budget_(limits.answers)
+{
+}
+
+BeginResult AttemptTable::begin(AttemptId attempt, bool keepAnswer)
+{
+    if (const auto found = records_.find(attempt); found != records_.end()) {
+        return found->second.outcome == AttemptOutcome::NotRun ? BeginResult::Fenced : BeginResult::AlreadyBegun;
+    }
+    const bool hasRoom = records_.size() - fenceCount_ < limits_.records;
+    if (!hasRoom || (keepAnswer && !budget_.reserve())) {
+        return fence(attempt) ? BeginResult::Full : BeginResult::FullUnfenced;
+    }
+    records_.emplace(attempt, Record{.keepAnswer = keepAnswer, .answer = nullptr});
+    return BeginResult::Begun;
+}
+
+bool AttemptTable::complete(AttemptId attempt, StoredAnswer answer)
+{
+    Record *record = running(attempt);
+    if (record == nullptr) {
+        return false;
+    }
+    settle(attempt, *record, AttemptOutcome::CompletedNotKept);
+    if (record->keepAnswer) {
+        record->answer = budget_.store(std::move(answer));
+    }
+    if (record->answer) {
+        record->outcome = AttemptOutcome::Completed;
+    }
+    return true;
+}
+
+bool AttemptTable::markNotRun(AttemptId attempt)
+{
+    Record *record = running(attempt);
+    if (record == nullptr) {
+        return false;
+    }
+    settle(attempt, *record, AttemptOutcome::NotRun);
+    return true;
+}
+
+bool AttemptTable::markUnknown(AttemptId attempt)
+{
+    Record *record = running(attempt);
+    if (record == nullptr) {
+        return false;
+    }
+    settle(attempt, *record, AttemptOutcome::Unknown);
+    return true;
+}
+
+OutcomeReport AttemptTable::query(AttemptId attempt, Incarnation incarnation)
+{
+    if (incarnation != incarnation_) {
+        return {AttemptOutcome::Unknown, nullptr};
+    }
+    if (const auto found = records_.find(attempt); found != records_.end()) {
+        return {found->second.outcome, found->second.answer};
+    }
+    return {fence(attempt) ? AttemptOutcome::NotRun : AttemptOutcome::Unknown, nullptr};
+}
+
+void AttemptTable::tick()
+{
+    clock_.tick();
+    expire(expiries_);
+    expire(repeatableExpiries_);
+}
+
+std::size_t AttemptTable::recordCount() const
+{
+    return records_.size();
+}
+
+std::size_t AttemptTable::answerBytes() const
+{
+    return budget_.usedBytes();
+}
+
+bool AttemptTable::fence(AttemptId attempt)
+{
+    if (fenceCount_ >= limits_.fences) {
+        return false;
+    }
+    ++fenceCount_;
+    // Kept for the full lifetime, as it is not known whether the attempt is repeatable.
+    records_.emplace(
+        attempt, Record{.outcome = AttemptOutcome::NotRun, .keepAnswer = true, .fenceOnly = true, .answer = nullptr});
+    expiries_.push_back({clock_.now() + kLifetime, attempt});
+    return true;
+}
+
+AttemptTable::Record *AttemptTable::running(AttemptId attempt)
+{
+    const auto found = records_.find(attempt);
+    if (found == records_.end() || found->second.outcome != AttemptOutcome::Running) {
+        return nullptr;
+    }
+    return &found->second;
+}
+
+void AttemptTable::settle(AttemptId attempt, Record &record, AttemptOutcome outcome)
+{
+    record.outcome = outcome;
+    if (record.keepAnswer) {
+        budget_.release();
+        expiries_.push_back({clock_.now() + kLifetime, attempt});
+    } else {
+        repeatableExpiries_.push_back({clock_.now() + kRepeatableLifetime, attempt});
+    }
+}
+
+void AttemptTable::expire(ExpiryQueue &queue)
+{
+    while (!queue.empty() && queue.front().at <= clock_.now()) {
+        const auto found = records_.find(queue.front().attempt);
+        queue.pop_front();
+        if (found->second.answer) {
+            budget_.drop(*found->second.answer);
+        }
+        if (found->second.fenceOnly) {
+            --fenceCount_;
+        }
+        records_.erase(found);
+    }
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/src/execution/storedanswer.cpp
@@ -0,0 +1,15 @@
+#include "execution/storedanswer.h"
+
+namespace Hibiscus
+{
+
+std::size_t storedBytes(const StoredAnswer &answer)
+{
+    std::size_t bytes = sizeof(StoredAnswer) + answer.body.size();
+    for (const auto &[name, value] : answer.headers) {
+        bytes += sizeof(answer.headers.front()) + name.size() + value.size();
+    }
+    return bytes;
+}
+
+} // namespace Hibiscus
--- a/src/quarantine/crashledger.h
+++ b/src/quarantine/crashledger.h
@@ -70,7 +70,7 @@
     /** Takes over reports of another process; true if anything was new. */
     bool merge(const std::vector<CrashReport> &reports);
 
-    /** Changes after @p revision (0: everything live), at most about @p maxEntries signatures. */
+    /** Changes after @p revision (0: everything live), the oldest first, at most @p maxEntries signatures. */
     CrashDifference exportReports(std::uint64_t revision, std::size_t maxEntries = 256) const;
 
     /** Forgets expired reports. To be called every few seconds. */
@@ -95,11 +95,14 @@
 
     using Reports = std::map<CrashReportId, Report>;
 
+    static std::vector<Entry>::const_iterator findEntry(const Report &report, Signature signature);
+    bool isExpired(const Report &report) const;
     bool isForgotten(CrashReportId id) const;
     bool apply(CrashReportId id, TimePoint crashedAt, const std::vector<Signature> &signatures, bool cleared);
     bool applyEntry(CrashReportId id, Report &report, Signature signature, bool cleared);
-    void forget(CrashReportId id);
-    void forgetReport(Reports::iterator report);
+    void forgetUpTo(CrashReportId id);
+    void rememberForgotten(CrashReportId id);
+    Reports::iterator remove(Reports::iterator report);
     void enforceLimit();
 
     const Clock &clock_;
--- /dev/null
+++ b/src/quarantine/suspectslot.cpp
@@ -0,0 +1,22 @@
+#include "quarantine/suspectslot.h"
+
+namespace Hibiscus
+{
+
+bool SuspectSlot::tryTake(AttemptId attempt)
+{
+    if (holder_ && *holder_ != attempt) {
+        return false;
+    }
+    holder_ = attempt;
+    return true;
+}
+
+void SuspectSlot::release(AttemptId attempt)
+{
+    if (holder_ == attempt) {
+        holder_.reset();
+    }
+}
+
+} // namespace Hibiscus
--- a/src/retry/retrybudget.h
+++ b/src/retry/retrybudget.h
@@ -4,6 +4,7 @@
 #include "core/millis.h"
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 
 namespace Hibiscus
@@ -26,6 +27,7 @@
     /** Takes a token for a retry; false if the retry must not be made. */
     bool tryTakeRetry(TimePoint now);
 
+    /** Tokens that are left, for metrics. */
     double tokens() const;
 
 private:
@@ -37,11 +39,16 @@
     // The current slice of 100 ms and the 10 before it cover the last second.
     static constexpr std::size_t kSlices = 11;
 
+    /** Slice of @p now, after clearing those that are older than a second. */
     Slice &currentSlice(TimePoint now);
     bool isShedding(TimePoint now);
 
-    double tokens_ = 10;
-    std::array<Slice, kSlices> slices_;
+    // In 1/100 of a token, as a sum of many 0.05 is not exact in floating point.
+    static constexpr int kToken = 100;
+    static constexpr int kBucketSize = 10 * kToken;
+
+    int centiTokens_ = kBucketSize;
+    std::array<Slice, kSlices> slices_{};
     std::int64_t currentIndex_ = 0;
 };
 
