Declare the admission and routing libraries

The daemon is built against these headers in parallel, so they come first.

Headers compile on their own; there is no implementation yet.

--- /dev/null
+++ b/src/admission/admissioncontroller.h
@@ -0,0 +1,114 @@
+#ifndef HIBISCUS_ADMISSION_ADMISSIONCONTROLLER_H
+#define HIBISCUS_ADMISSION_ADMISSIONCONTROLLER_H
+
+#include "admission/admissionlevel.h"
+#include "admission/admissionqueue.h"
+#include "admission/classreserve.h"
+#include "admission/concurrencylimit.h"
+#include "admission/ticket.h"
+#include "core/clock.h"
+
+#include <cstddef>
+#include <unordered_map>
+#include <vector>
+
+namespace Hibiscus
+{
+
+/** What becomes of an arriving ticket. */
+struct Decision {
+    enum class Kind {
+        RunNow, ///< The ticket holds a slot; the caller must report finished().
+        Queued, ///< A later finished(), tick() or setServerHealthy() starts or refuses it, unless it is cancelled.
+        Refused, ///< Not run, for the reason in error.
+    };
+
+    Kind kind;
+    ErrorKind error = ErrorKind::Overloaded; ///< Only meaningful for Refused.
+};
+
+struct AdmissionSettings {
+    int slots = 1; ///< Slots of the backend server in the inventory.
+    int classCount = 1; ///< Request classes in the rules; ranks at or above it are handled as the highest.
+};
+
+/**
+ * Decides when each request for the local backend server runs. Every ticket ends in exactly one of started, refused
+ * and cancelled. No locking and no I/O; time comes from the clock.
+ */
+class AdmissionController
+{
+public:
+    /** @p clock must outlive the controller. */
+    AdmissionController(const AdmissionSettings &settings, const Clock &clock);
+
+    /**
+     * Decides about a new ticket. Refusals: Unreachable (server unhealthy), Draining, DeadlineBeforeRun, Overloaded,
+     * and InProgress for an id that is already queued or running.
+     */
+    Decision arrive(Ticket ticket);
+
+    /** Frees the slot of a started ticket and hands it on. Unknown ids free nothing. */
+    Dispatch finished(TicketId id, const ServiceSample &sample);
+
+    /** Drops overdue tickets, closes measurement windows and starts what became possible. Call it every 10 ms. */
+    Dispatch tick();
+
+    /** Removes a queued ticket; true if it was queued, and then it never runs. A running ticket is not affected. */
+    bool cancel(TicketId id);
+
+    /** From now on every arrival is refused as Draining; queued and running tickets finish. */
+    void drain();
+
+    /** An unhealthy server gets no work: arrivals and the queued tickets are refused as Unreachable. */
+    Dispatch setServerHealthy(bool healthy);
+
+    /** The backend server process was started anew: the limit begins at half the slots and rises over 10 s. */
+    void serverStarted();
+
+    /** Takes over changed slots or classes. Queued and running tickets are kept. */
+    void configure(const AdmissionSettings &settings);
+
+    /** Lowest level that is admitted now. */
+    Level level() const;
+
+    /** Limit minus running tickets, at least 0. */
+    int headroom() const;
+
+    int limit() const;
+    int running() const;
+    std::size_t queued() const;
+    bool draining() const;
+
+private:
+    struct Running {
+        int classRank;
+        TimePoint start;
+    };
+
+    int rankOf(const Ticket &ticket) const;
+    void advance();
+    void start(const Ticket &ticket);
+    void refuse(Dispatch &dispatch, std::vector<Ticket> tickets, ErrorKind error);
+    void dropOverdue(Dispatch &dispatch);
+    void startQueued(Dispatch &dispatch);
+    void closeWindow(Dispatch &dispatch);
+    void recordWait(const Ticket &ticket);
+
+    const Clock &clock_;
+    AdmissionSettings settings_;
+    ConcurrencyLimit limit_;
+    ClassReserve reserve_;
+    AdmissionQueue queue_;
+    AdmissionLevel level_;
+    std::unordered_map<TicketId, Running> running_;
+    WindowLoad window_;
+    TimePoint windowStart_;
+    TimePoint lastAdvance_;
+    bool draining_ = false;
+    bool healthy_ = true;
+};
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/src/admission/admissionqueue.h
@@ -0,0 +1,77 @@
+#ifndef HIBISCUS_ADMISSION_ADMISSIONQUEUE_H
+#define HIBISCUS_ADMISSION_ADMISSIONQUEUE_H
+
+#include "admission/ticket.h"
+
+#include <cstddef>
+#include <list>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace Hibiscus
+{
+
+/** Longest time a ticket of any but the highest class is queued; a later start rarely helps its caller. */
+inline constexpr Millis kMaxQueueTime{100};
+/** The same for the highest class, which is delayed rather than refused. */
+inline constexpr Millis kMaxQueueTimeHighest{1000};
+
+/** Short queue for each class: higher classes first, within a class in the order of arrival. */
+class AdmissionQueue
+{
+public:
+    explicit AdmissionQueue(int classCount);
+
+    /** Adds classes; the number never falls. */
+    void setClassCount(int classCount);
+
+    /** Longest queue of one class. A longer one is not shortened by force. */
+    void setMaxLength(std::size_t tickets);
+
+    /** Adds a ticket at @p now; false if the queue of its class is full. The id must not be queued already. */
+    bool push(const Ticket &ticket, TimePoint now);
+
+    /** Highest class with a queued ticket. */
+    std::optional<int> highestClass() const;
+
+    /** Removes the oldest ticket of @p classRank, which must have one. */
+    Ticket pop(int classRank);
+
+    bool contains(TicketId id) const;
+
+    /** Removes a ticket; false if it is not queued. */
+    bool cancel(TicketId id);
+
+    /** Removes the tickets that can no longer finish before their deadline. */
+    std::vector<Ticket> takeLate(TimePoint now);
+
+    /** Removes the tickets that were queued for longer than the limit of their class. */
+    std::vector<Ticket> takeOverdue(TimePoint now);
+
+    /** Removes the tickets of the classes below @p classRank. */
+    std::vector<Ticket> takeBelow(int classRank);
+
+    std::size_t size() const;
+
+private:
+    struct Entry {
+        Ticket ticket;
+        TimePoint queuedAt;
+    };
+    using Queue = std::list<Entry>;
+
+    template<class Predicate>
+    std::vector<Ticket> takeIf(Predicate predicate);
+
+    std::vector<Queue> classes_;
+    std::unordered_map<TicketId, std::pair<int, Queue::iterator>> index_;
+    std::size_t maxLength_ = 1;
+};
+
+/** Whether @p ticket can't finish before its deadline if it starts at @p now. */
+bool isLate(const Ticket &ticket, TimePoint now);
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/src/admission/level.h
@@ -0,0 +1,29 @@
+#ifndef HIBISCUS_ADMISSION_LEVEL_H
+#define HIBISCUS_ADMISSION_LEVEL_H
+
+#include <compare>
+
+namespace Hibiscus
+{
+
+/** Buckets per request class. The bucket is a hash of the root request, so all calls below one root share it. */
+inline constexpr int kBucketsPerClass = 128;
+
+/**
+ * Importance of a request, or the lowest importance that is admitted: class rank * 128 + bucket.
+ * A request is admitted where its own level is at least the admission level; 0 admits everything.
+ */
+struct Level {
+    int value = 0;
+
+    friend constexpr auto operator<=>(Level, Level) = default;
+};
+
+constexpr Level levelOf(int classRank, int bucket)
+{
+    return {classRank * kBucketsPerClass + bucket};
+}
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/src/routing/balancer.h
@@ -0,0 +1,98 @@
+#ifndef HIBISCUS_ROUTING_BALANCER_H
+#define HIBISCUS_ROUTING_BALANCER_H
+
+#include "core/clock.h"
+#include "core/errorkind.h"
+#include "core/randomsource.h"
+#include "routing/levelmap.h"
+#include "routing/serverset.h"
+#include "routing/subsetselector.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace Hibiscus
+{
+
+struct BalancerSettings {
+    ServerName self; ///< Name of the server whose daemon this is.
+    FailureDomainName domain; ///< The daemon's own failure domain.
+};
+
+/**
+ * Chooses the server for each attempt on one service. Each attempt is reported with started() right after pick()
+ * (under the same lock) and ends in exactly one of finished() and connectFailed().
+ */
+class Balancer
+{
+public:
+    /** @p clock and @p random must outlive the balancer. */
+    Balancer(const BalancerSettings &settings, const Clock &clock, RandomSource &random);
+
+    /** Takes over the servers of the service from the membership views. */
+    void update(const std::vector<ServerView> &servers);
+
+    /**
+     * Server for a request of level @p level, other than those in @p exclude. Errors: Overloaded if the servers that
+     * are left all shed this level, NoServer if none is left.
+     */
+    Result<ServerName> pick(Level level, const std::vector<ServerName> &exclude);
+
+    void started(const ServerName &name);
+    void finished(const ServerName &name, const AnswerHint &hint);
+    /** No connection could be made, so the attempt was not sent. */
+    void connectFailed(const ServerName &name);
+
+    /** View of a server of the service, also one outside the subset; null if it is unknown. */
+    const ServerView *find(const ServerName &name) const;
+
+    /** Lowest level that some server of the subset admits; requests below it can be shed at once. */
+    Level admittedLevel() const;
+
+    /** Servers that pick() chooses from. */
+    const std::vector<ServerView> &subset() const;
+
+    /** Attempts of this daemon that are outstanding at @p name. */
+    int inFlight(const ServerName &name) const;
+
+    /** Whether connect failures currently keep @p name from being picked. */
+    bool isEjected(const ServerName &name) const;
+
+private:
+    /** State kept of a server while it is known or has attempts outstanding. */
+    struct Record {
+        int inFlight = 0;
+        TimePoint since; ///< When this incarnation was first seen.
+        std::optional<int> headroom;
+        TimePoint headroomAt;
+        int connectFailures = 0; ///< Consecutive.
+        bool ejected = false;
+        Millis backoff;
+        TimePoint probeAt;
+        bool probing = false;
+    };
+
+    using Candidate = std::pair<const ServerName *, const Record *>;
+
+    Record *record(const ServerName &name);
+    const Record *record(const ServerName &name) const;
+    bool hasFreshHeadroom(const Record &record) const;
+    double loadOf(const Record &record, bool useHeadroom) const;
+    bool isBetter(const Candidate &a, double penaltyOfA, const Candidate &b) const;
+    std::optional<Candidate> chooseOfTwo(const std::vector<Candidate> &candidates);
+    void eject(Record &record);
+
+    BalancerSettings settings_;
+    const Clock &clock_;
+    RandomSource &random_;
+    ServerSet servers_;
+    SubsetSelector selector_;
+    std::vector<ServerView> subset_;
+    std::map<ServerName, Record> records_;
+    LevelMap<ServerName> levels_;
+};
+
+} // namespace Hibiscus
+
+#endif
