Add the admission and routing decision libraries

The limit treats each back-off as a trial: own service time that does not get shorter with fewer requests at a time shows a shifted mix or a server that is slower at any load, and the limit is restored. Ruled out: comparing with the ticket's expected time, since an expectation that is itself learned under overload would hide the overload.

The class reserve is the mean concurrency of the higher classes while slots turn over quickly and their recent peak while lower classes hold slots for twice their own time.

The level sheds part of a class only after the lower classes are refused and have left the server; queued tickets of lower classes are refused with it.

--- /dev/null
+++ b/src/admission/admissioncontroller.cpp
@@ -0,0 +1,260 @@
+#include "admission/admissioncontroller.h"
+
+#include <algorithm>
+
+namespace Hibiscus
+{
+
+namespace
+{
+
+// With equal service times a ticket at the end of such a queue waits for eight of them.
+constexpr std::size_t kQueuedPerSlot = 8;
+
+AdmissionSettings checked(AdmissionSettings settings)
+{
+    settings.slots = std::max(settings.slots, 1);
+    settings.classCount = std::max(settings.classCount, 1);
+    return settings;
+}
+
+Decision refused(ErrorKind error)
+{
+    return {Decision::Kind::Refused, error};
+}
+
+void append(Dispatch &dispatch, const std::vector<Ticket> &tickets, ErrorKind error)
+{
+    for (const Ticket &ticket : tickets) {
+        dispatch.refused.push_back({ticket, error});
+    }
+}
+
+} // namespace
+
+AdmissionController::AdmissionController(const AdmissionSettings &settings, const Clock &clock)
+    : clock_(clock)
+    , settings_(checked(settings))
+    , limit_(settings_.slots)
+    , reserve_(settings_.classCount, clock.now())
+    , queue_(settings_.classCount)
+    , level_(settings_.classCount)
+    , windowStart_(clock.now())
+{
+    configure(settings);
+}
+
+Decision AdmissionController::arrive(Ticket ticket)
+{
+    const TimePoint now = clock_.now();
+    ticket.arrival = now;
+    ticket.classRank = std::clamp(ticket.classRank, 0, settings_.classCount - 1);
+    ticket.bucket = std::clamp(ticket.bucket, 0, kBucketsPerClass - 1);
+    if (running_.contains(ticket.id) || queue_.contains(ticket.id)) {
+        return refused(ErrorKind::InProgress);
+    }
+    if (draining_) {
+        return refused(ErrorKind::Draining);
+    }
+    if (!healthy_) {
+        return refused(ErrorKind::Unreachable);
+    }
+    if (isLate(ticket, now)) {
+        return refused(ErrorKind::DeadlineBeforeRun);
+    }
+    level_.recordArrival(ticket.level());
+    if (!level_.admits(ticket.level())) {
+        return refused(ErrorKind::Overloaded);
+    }
+    const bool first = queue_.highestClass().value_or(-1) < ticket.classRank;
+    if (first && reserve_.canStart(ticket.classRank, limit_.value())) {
+        start(ticket, now);
+        return {Decision::Kind::RunNow};
+    }
+    if (!queue_.push(ticket)) {
+        window_.classes[static_cast<std::size_t>(ticket.classRank)].dropped = true;
+        return refused(ErrorKind::Overloaded);
+    }
+    return {Decision::Kind::Queued};
+}
+
+Dispatch AdmissionController::finished(TicketId id, const ServiceSample &sample)
+{
+    const TimePoint now = clock_.now();
+    if (const auto found = running_.find(id); found != running_.end()) {
+        const Running running = found->second;
+        running_.erase(found);
+        reserve_.finished(running.classRank, running.start, now, sample.ownTime());
+        limit_.record(sample, running.start, this->running());
+        window_.completed += sample.serverShed ? 0 : 1;
+    }
+    Dispatch dispatch;
+    closeWindow(dispatch, now);
+    startQueued(dispatch, now);
+    return dispatch;
+}
+
+Dispatch AdmissionController::tick()
+{
+    const TimePoint now = clock_.now();
+    Dispatch dispatch;
+    dropLate(dispatch, now);
+    dropOverdue(dispatch, now);
+    closeWindow(dispatch, now);
+    startQueued(dispatch, now);
+    return dispatch;
+}
+
+bool AdmissionController::cancel(TicketId id)
+{
+    return queue_.cancel(id);
+}
+
+void AdmissionController::drain()
+{
+    draining_ = true;
+}
+
+Dispatch AdmissionController::setServerHealthy(bool healthy)
+{
+    healthy_ = healthy;
+    Dispatch dispatch;
+    if (!healthy) {
+        append(dispatch, queue_.takeBelow(classCount()), ErrorKind::Unreachable);
+    }
+    return dispatch;
+}
+
+void AdmissionController::serverStarted()
+{
+    limit_.startCold(clock_.now());
+}
+
+void AdmissionController::configure(const AdmissionSettings &settings)
+{
+    settings_ = checked(settings);
+    limit_.setSlots(settings_.slots);
+    reserve_.setClassCount(settings_.classCount);
+    queue_.setClassCount(settings_.classCount);
+    queue_.setMaxLength(kQueuedPerSlot * static_cast<std::size_t>(settings_.slots));
+    level_.setClassCount(settings_.classCount);
+    window_.classes.resize(std::max(window_.classes.size(), static_cast<std::size_t>(settings_.classCount)));
+}
+
+Level AdmissionController::level() const
+{
+    return level_.value();
+}
+
+int AdmissionController::headroom() const
+{
+    return draining_ || !healthy_ ? 0 : std::max(0, limit() - running());
+}
+
+int AdmissionController::limit() const
+{
+    return limit_.value();
+}
+
+int AdmissionController::running() const
+{
+    return reserve_.totalInFlight();
+}
+
+std::size_t AdmissionController::queued() const
+{
+    return queue_.size();
+}
+
+bool AdmissionController::draining() const
+{
+    return draining_;
+}
+
+int AdmissionController::classCount() const
+{
+    return static_cast<int>(window_.classes.size());
+}
+
+void AdmissionController::start(const Ticket &ticket, TimePoint now)
+{
+    running_.emplace(ticket.id, Running{ticket.classRank, now});
+    reserve_.started(ticket.classRank, now);
+    peakInFlight_ = std::max(peakInFlight_, running());
+    recordWait(ticket, now);
+}
+
+void AdmissionController::recordWait(const Ticket &ticket, TimePoint now)
+{
+    ClassLoad &load = window_.classes[static_cast<std::size_t>(ticket.classRank)];
+    load.waitSum += (now - ticket.arrival).value;
+    ++load.waits;
+}
+
+void AdmissionController::dropLate(Dispatch &dispatch, TimePoint now)
+{
+    const std::vector<Ticket> late = queue_.takeLate(now);
+    for (const Ticket &ticket : late) {
+        recordWait(ticket, now);
+    }
+    append(dispatch, late, ErrorKind::DeadlineBeforeRun);
+}
+
+/** With an overdue ticket those of lower classes go too, or one of them would be served in its stead. */
+void AdmissionController::dropOverdue(Dispatch &dispatch, TimePoint now)
+{
+    int highest = 0;
+    const std::vector<Ticket> overdue = queue_.takeOverdue(now, settings_.classCount - 1);
+    for (const Ticket &ticket : overdue) {
+        recordWait(ticket, now);
+        window_.classes[static_cast<std::size_t>(ticket.classRank)].dropped = true;
+        highest = std::max(highest, ticket.classRank);
+    }
+    append(dispatch, overdue, ErrorKind::Overloaded);
+    append(dispatch, queue_.takeBelow(highest), ErrorKind::Overloaded);
+}
+
+void AdmissionController::closeWindow(Dispatch &dispatch, TimePoint now)
+{
+    if (now - windowStart_ < kAdmissionWindow) {
+        return;
+    }
+    reserve_.closeWindow(now);
+    limit_.closeWindow(now, peakInFlight_);
+    for (int i = 0; i < classCount(); ++i) {
+        window_.classes[static_cast<std::size_t>(i)].meanInFlight = reserve_.meanInFlight(i);
+    }
+    window_.length = now - windowStart_;
+    window_.queued = queue_.size();
+    window_.limit = limit();
+    level_.closeWindow(window_);
+
+    std::fill(window_.classes.begin(), window_.classes.end(), ClassLoad{});
+    window_.completed = 0;
+    windowStart_ = now;
+    peakInFlight_ = running();
+    if (level().value > 0) {
+        // While some of a class is refused, queued tickets of lower classes must not be served.
+        const int highestRefused = (level().value - 1) / kBucketsPerClass;
+        append(dispatch, queue_.takeBelow(highestRefused), ErrorKind::Overloaded);
+    }
+}
+
+void AdmissionController::startQueued(Dispatch &dispatch, TimePoint now)
+{
+    for (auto highest = queue_.highestClass(); highest; highest = queue_.highestClass()) {
+        if (!reserve_.canStart(*highest, limit())) {
+            return;
+        }
+        const Ticket ticket = queue_.pop(*highest);
+        if (isLate(ticket, now)) {
+            recordWait(ticket, now);
+            dispatch.refused.push_back({ticket, ErrorKind::DeadlineBeforeRun});
+            continue;
+        }
+        start(ticket, now);
+        dispatch.started.push_back(ticket);
+    }
+}
+
+} // namespace Hibiscus
--- a/src/admission/admissioncontroller.h
+++ b/src/admission/admissioncontroller.h
@@ -86,14 +86,13 @@
         TimePoint start;
     };
 
-    int rankOf(const Ticket &ticket) const;
-    void advance();
-    void start(const Ticket &ticket);
-    void refuse(Dispatch &dispatch, std::vector<Ticket> tickets, ErrorKind error);
-    void dropOverdue(Dispatch &dispatch);
-    void startQueued(Dispatch &dispatch);
-    void closeWindow(Dispatch &dispatch);
-    void recordWait(const Ticket &ticket);
+    int classCount() const;
+    void start(const Ticket &ticket, TimePoint now);
+    void recordWait(const Ticket &ticket, TimePoint now);
+    void dropLate(Dispatch &dispatch, TimePoint now);
+    void dropOverdue(Dispatch &dispatch, TimePoint now);
+    void closeWindow(Dispatch &dispatch, TimePoint now);
+    void startQueued(Dispatch &dispatch, TimePoint now);
 
     const Clock &clock_;
     AdmissionSettings settings_;
@@ -104,7 +103,7 @@
     std::unordered_map<TicketId, Running> running_;
     WindowLoad window_;
     TimePoint windowStart_;
-    TimePoint lastAdvance_;
+    int peakInFlight_ = 0;
     bool draining_ = false;
     bool healthy_ = true;
 };
--- a/src/admission/admissionlevel.h
+++ b/src/admission/admissionlevel.h
@@ -71,10 +71,11 @@
         double perBucket = 0; ///< Smoothed estimate for a window of kAdmissionWindow, all buckets of the class alike.
     };
 
-    int lastLevel() const;
+    int highestLevel() const;
     double admittedShare(int classRank) const;
     void learnOffered(double windows);
-    double expectedAbove(int level) const;
+    double perBucketAt(int level) const;
+    double expectedAdmitted() const;
     int highestAllowed(const WindowLoad &load) const;
     void raise(const WindowLoad &load);
     void lower(const WindowLoad &load);
--- a/src/admission/admissionqueue.h
+++ b/src/admission/admissionqueue.h
@@ -17,6 +17,9 @@
 /** The same for the highest class, which is delayed rather than refused. */
 inline constexpr Millis kMaxQueueTimeHighest{1000};
 
+/** Whether @p ticket can't finish before its deadline if it starts at @p now. */
+bool isLate(const Ticket &ticket, TimePoint now);
+
 /** Short queue for each class: higher classes first, within a class in the order of arrival. */
 class AdmissionQueue
 {
@@ -29,8 +32,8 @@
     /** Longest queue of one class. A longer one is not shortened by force. */
     void setMaxLength(std::size_t tickets);
 
-    /** Adds a ticket at @p now; false if the queue of its class is full. The id must not be queued already. */
-    bool push(const Ticket &ticket, TimePoint now);
+    /** Adds a ticket; false if the queue of its class is full. The id must not be queued already. */
+    bool push(const Ticket &ticket);
 
     /** Highest class with a queued ticket. */
     std::optional<int> highestClass() const;
@@ -46,8 +49,8 @@
     /** Removes the tickets that can no longer finish before their deadline. */
     std::vector<Ticket> takeLate(TimePoint now);
 
-    /** Removes the tickets that were queued for longer than the limit of their class. */
-    std::vector<Ticket> takeOverdue(TimePoint now);
+    /** Removes the tickets that were queued for longer than their class may be; @p highestRank is the highest class. */
+    std::vector<Ticket> takeOverdue(TimePoint now, int highestRank);
 
     /** Removes the tickets of the classes below @p classRank. */
     std::vector<Ticket> takeBelow(int classRank);
@@ -55,23 +58,16 @@
     std::size_t size() const;
 
 private:
-    struct Entry {
-        Ticket ticket;
-        TimePoint queuedAt;
-    };
-    using Queue = std::list<Entry>;
+    using Queue = std::list<Ticket>;
 
     template<class Predicate>
     std::vector<Ticket> takeIf(Predicate predicate);
 
     std::vector<Queue> classes_;
-    std::unordered_map<TicketId, std::pair<int, Queue::iterator>> index_;
+    std::unordered_map<TicketId, Queue::iterator> index_;
     std::size_t maxLength_ = 1;
 };
 
-/** Whether @p ticket can't finish before its deadline if it starts at @p now. */
-bool isLate(const Ticket &ticket, TimePoint now);
-
 } // namespace Hibiscus
 
 #endif
--- /dev/null
+++ b/src/admission/classreserve.cpp
@@ -0,0 +1,160 @@
+#include "admission/classreserve.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Hibiscus
+{
+
+namespace
+{
+
+// The peak covers this period and the one before.
+constexpr Millis kPeakPeriod{5000};
+constexpr double kMeanWeight = 0.2;
+constexpr double kHoldWeight = 1.0 / 32;
+// Shorter own service times are mostly loopback and scheduling noise, in ms.
+constexpr double kShortestOwnTime = 1;
+
+} // namespace
+
+ClassReserve::ClassReserve(int classCount, TimePoint now)
+    : windowStart_(now)
+    , integratedTo_(now)
+    , periodStart_(now)
+{
+    setClassCount(classCount);
+}
+
+void ClassReserve::setClassCount(int classCount)
+{
+    while (classes_.size() < static_cast<std::size_t>(classCount)) {
+        // A new class is above all others, so its cut starts with what all of them hold.
+        cuts_.push_back(cuts_.empty() ? Cut{} : cuts_.back());
+        classes_.emplace_back();
+    }
+}
+
+bool ClassReserve::canStart(int classRank, int limit) const
+{
+    for (std::size_t i = static_cast<std::size_t>(classRank); i < cuts_.size(); ++i) {
+        // One slot is always left to the lower classes, or a small limit would starve them.
+        const int available = limit - std::min(cuts_[i].reserve, limit - 1);
+        if (cuts_[i].lowerInFlight >= available) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void ClassReserve::started(int classRank, TimePoint now)
+{
+    integrate(now);
+    ++classes_[static_cast<std::size_t>(classRank)].inFlight;
+    for (std::size_t i = 0; i < cuts_.size(); ++i) {
+        Cut &cut = cuts_[i];
+        if (static_cast<std::size_t>(classRank) > i) {
+            ++cut.higherInFlight;
+            cut.peak = std::max(cut.peak, cut.higherInFlight);
+        } else {
+            ++cut.lowerInFlight;
+            cut.lowerStartSum += now.value;
+        }
+    }
+}
+
+void ClassReserve::finished(int classRank, TimePoint start, TimePoint now, Millis ownTime)
+{
+    integrate(now);
+    --classes_[static_cast<std::size_t>(classRank)].inFlight;
+    for (std::size_t i = 0; i < cuts_.size(); ++i) {
+        Cut &cut = cuts_[i];
+        if (static_cast<std::size_t>(classRank) > i) {
+            --cut.higherInFlight;
+            continue;
+        }
+        --cut.lowerInFlight;
+        // Set to zero where nothing is left, so that rounding errors do not add up.
+        cut.lowerStartSum = cut.lowerInFlight == 0 ? 0 : cut.lowerStartSum - start.value;
+        cut.lowerHold += kHoldWeight * ((now - start).value - cut.lowerHold);
+        cut.lowerOwn += kHoldWeight * (ownTime.value - cut.lowerOwn);
+    }
+}
+
+void ClassReserve::closeWindow(TimePoint now)
+{
+    integrate(now);
+    const double length = std::max((now - windowStart_).value, 1.0);
+    for (ClassState &state : classes_) {
+        state.mean = state.area / length;
+        state.area = 0;
+    }
+    for (std::size_t i = 0; i < cuts_.size(); ++i) {
+        closeCut(i, now);
+    }
+    windowStart_ = now;
+    if (now - periodStart_ < kPeakPeriod) {
+        return;
+    }
+    periodStart_ = now;
+    for (Cut &cut : cuts_) {
+        cut.previousPeak = cut.peak;
+        cut.peak = cut.higherInFlight;
+    }
+}
+
+int ClassReserve::reserve(int classRank) const
+{
+    return cuts_[static_cast<std::size_t>(classRank)].reserve;
+}
+
+int ClassReserve::inFlight(int classRank) const
+{
+    return classes_[static_cast<std::size_t>(classRank)].inFlight;
+}
+
+int ClassReserve::totalInFlight() const
+{
+    return cuts_.back().lowerInFlight;
+}
+
+double ClassReserve::meanInFlight(int classRank) const
+{
+    return classes_[static_cast<std::size_t>(classRank)].mean;
+}
+
+void ClassReserve::integrate(TimePoint now)
+{
+    const double elapsed = (now - integratedTo_).value;
+    for (ClassState &state : classes_) {
+        state.area += state.inFlight * elapsed;
+    }
+    integratedTo_ = now;
+}
+
+/** From 0 (slots are held for the own service time only) to 1 (for twice as long or longer). */
+double ClassReserve::stallOf(const Cut &cut, TimePoint now) const
+{
+    if (cut.lowerInFlight == 0) {
+        return 0;
+    }
+    // The age counts what is still waiting for a child that does not answer at all.
+    const double meanAge = now.value - cut.lowerStartSum / cut.lowerInFlight;
+    const double hold = std::max(cut.lowerHold, meanAge);
+    return std::clamp(hold / std::max(cut.lowerOwn, kShortestOwnTime) - 1, 0.0, 1.0);
+}
+
+void ClassReserve::closeCut(std::size_t index, TimePoint now)
+{
+    Cut &cut = cuts_[index];
+    double higher = 0;
+    for (std::size_t i = index + 1; i < classes_.size(); ++i) {
+        higher += classes_[i].mean;
+    }
+    cut.higherMean += kMeanWeight * (higher - cut.higherMean);
+    const double peak = std::max({cut.peak, cut.previousPeak, cut.higherInFlight});
+    const double reserve = cut.higherMean + stallOf(cut, now) * (peak - cut.higherMean);
+    cut.reserve = static_cast<int>(std::lround(std::max(reserve, 0.0)));
+}
+
+} // namespace Hibiscus
--- a/src/admission/classreserve.h
+++ b/src/admission/classreserve.h
@@ -3,7 +3,7 @@
 
 #include "core/millis.h"
 
-#include <deque>
+#include <cstddef>
 #include <vector>
 
 namespace Hibiscus
@@ -18,7 +18,7 @@
 class ClassReserve
 {
 public:
-    explicit ClassReserve(int classCount);
+    ClassReserve(int classCount, TimePoint now);
 
     /** Adds classes; the number never falls. */
     void setClassCount(int classCount);
@@ -27,8 +27,8 @@
     bool canStart(int classRank, int limit) const;
 
     void started(int classRank, TimePoint now);
-    /** @p total and @p ownTime are those of the request that ended. */
-    void finished(int classRank, TimePoint start, TimePoint now, Millis total, Millis ownTime);
+    /** A request that was started at @p start ended; @p ownTime is its own service time. */
+    void finished(int classRank, TimePoint start, TimePoint now, Millis ownTime);
 
     /** Closes a measurement window. */
     void closeWindow(TimePoint now);
@@ -39,28 +39,38 @@
     int inFlight(int classRank) const;
     int totalInFlight() const;
 
+    /** Mean number in flight during the last closed window. */
+    double meanInFlight(int classRank) const;
+
 private:
+    struct ClassState {
+        int inFlight = 0;
+        double area = 0; ///< Integral of inFlight over the open window, in ms.
+        double mean = 0; ///< Of inFlight in the last closed window.
+    };
+
     /** The classes from 0 up to one rank together, and those above it. */
     struct Cut {
         int lowerInFlight = 0;
-        double lowerStartSum = 0; ///< Sum of the start times of the lower ones in flight.
-        double lowerHold = 0; ///< Mean time for which a slot is held, in ms.
-        double lowerOwn = 0; ///< Mean own service time, in ms.
+        double lowerStartSum = 0; ///< Sum of the start times of the lower ones in flight, in ms.
+        double lowerHold = 0; ///< Smoothed time for which a slot is held, in ms.
+        double lowerOwn = 0; ///< Smoothed own service time, in ms.
         int higherInFlight = 0;
-        double higherArea = 0; ///< Integral of higherInFlight over the open window.
-        double higherMean = 0;
-        int windowPeak = 0;
-        std::deque<int> peaks; ///< Of the closed windows within kPeakWindows.
+        double higherMean = 0; ///< Smoothed over the windows.
+        int peak = 0; ///< Of higherInFlight in this period.
+        int previousPeak = 0; ///< In the period before.
         int reserve = 0;
     };
 
     void integrate(TimePoint now);
-    void updateReserve(Cut &cut, TimePoint now);
+    double stallOf(const Cut &cut, TimePoint now) const;
+    void closeCut(std::size_t index, TimePoint now);
 
     std::vector<Cut> cuts_;
-    std::vector<int> inFlight_;
+    std::vector<ClassState> classes_;
     TimePoint windowStart_;
     TimePoint integratedTo_;
+    TimePoint periodStart_;
 };
 
 } // namespace Hibiscus
--- a/src/admission/concurrencylimit.h
+++ b/src/admission/concurrencylimit.h
@@ -27,12 +27,12 @@
 
     void setSlots(int slots);
 
-    /** Begins a cold start: half the slots, rising to all of them over kColdStart, and the learned times are dropped.
+    /** Begins a cold start: half the slots, rising to all of them over 10 s. The learned times are dropped.
      */
     void startCold(TimePoint now);
 
-    /** Takes the sample of a request that was started at @p start. */
-    void record(const ServiceSample &sample, TimePoint start);
+    /** Takes the sample of a request that was started at @p start and ended while @p othersInFlight ran. */
+    void record(const ServiceSample &sample, TimePoint start, int othersInFlight);
 
     /** Closes a measurement window in which at most @p peakInFlight requests ran at a time. */
     void closeWindow(TimePoint now, int peakInFlight);
@@ -41,20 +41,23 @@
     /** A back-off whose effect on the own service time is being measured. */
     struct Trial {
         double limitBefore;
-        Millis ownTimeBefore;
+        double ownTimeBefore;
         TimePoint settled; ///< Requests started earlier do not count.
+        TimePoint end; ///< The trial is given up if there are too few requests until then.
         double sum = 0;
         int count = 0;
     };
 
+    double lowest() const;
     double ceiling(TimePoint now) const;
+    void noteTrouble(double limit, TimePoint now);
+    void backOffAfterShed(int othersInFlight);
+    void smoothOwnTime();
     void learnBaseline(TimePoint now);
-    void resetBaseline(double ownTime);
-    double baseline() const;
+    void resetBaseline(std::optional<double> ownTime);
     bool isSlow() const;
-    void backOffAfterShed(TimePoint now, int peakInFlight);
     void startTrial(TimePoint now);
-    void judgeTrial();
+    void judgeTrial(TimePoint now);
     void raise(TimePoint now);
 
     int slots_;
@@ -63,9 +66,10 @@
     // Own service time of the open window, and smoothed over the windows.
     double windowSum_ = 0;
     int windowCount_ = 0;
-    bool windowShed_ = false;
     double ownTime_ = 0;
     int ownTimeSamples_ = 0;
+    // Limit before the first load shedding of the server in the open window.
+    std::optional<double> limitBeforeShed_;
     // Minimum of the smoothed own service time in this period and in the one before.
     std::optional<double> minimum_;
     std::optional<double> previousMinimum_;
--- a/src/admission/ticket.h
+++ b/src/admission/ticket.h
@@ -20,7 +20,7 @@
     TicketId id;
     int classRank = 0; ///< 0 is least important.
     int bucket = 0; ///< 0..127
-    TimePoint arrival;
+    TimePoint arrival; ///< When it asked for a slot; set by AdmissionController::arrive().
     TimePoint deadline;
     Millis expectedOwnTime; ///< Expected own service time; 0 if unknown.
 
--- a/src/routing/balancer.h
+++ b/src/routing/balancer.h
@@ -28,7 +28,7 @@
 {
 public:
     /** @p clock and @p random must outlive the balancer. */
-    Balancer(const BalancerSettings &settings, const Clock &clock, RandomSource &random);
+    Balancer(BalancerSettings settings, const Clock &clock, RandomSource &random);
 
     /** Takes over the servers of the service from the membership views. */
     void update(const std::vector<ServerView> &servers);
@@ -73,15 +73,17 @@
         bool probing = false;
     };
 
-    using Candidate = std::pair<const ServerName *, const Record *>;
+    struct Candidate {
+        const ServerName *name;
+        const Record *record;
+    };
 
-    Record *record(const ServerName &name);
-    const Record *record(const ServerName &name) const;
+    Record *release(const ServerName &name);
+    bool mayBeTried(const Record &record) const;
     bool hasFreshHeadroom(const Record &record) const;
-    double loadOf(const Record &record, bool useHeadroom) const;
-    bool isBetter(const Candidate &a, double penaltyOfA, const Candidate &b) const;
+    double scoreOf(const Record &record, bool useHeadroom) const;
+    bool isBetter(const Candidate &a, double penalty, const Candidate &b) const;
     std::optional<Candidate> chooseOfTwo(const std::vector<Candidate> &candidates);
-    void eject(Record &record);
 
     BalancerSettings settings_;
     const Clock &clock_;
