Public headers of the object store

Cause: the agent and the control tool build against the store before its implementations exist. Decision: a refused fencing number is an error of its own, LeaseLost, since the caller must stop acting as agent, whereas Conflict asks it to read again. Ruled out: one kept-alive connection for all calls, because a long poll would block the others and a connection closed by the platform makes a write ambiguous for no reason.

--- /dev/null
+++ b/src/platform/storeerror.h
@@ -0,0 +1,33 @@
+#ifndef HIBISCUS_PLATFORM_STOREERROR_H
+#define HIBISCUS_PLATFORM_STOREERROR_H
+
+#include <optional>
+#include <string_view>
+
+#include <tl/expected.hpp>
+
+namespace Hibiscus
+{
+
+/** Why a call of the platform's object API has no result. */
+enum class StoreError {
+    NotFound, ///< No object of that key, or no lease of that name.
+    Conflict, ///< The object has another version, exists already, or the lease is held by another holder.
+    LeaseLost, ///< The fencing number is not that of the current lease; nothing was written.
+    TooLarge, ///< The value exceeds kMaximumValueBytes; nothing was written.
+    Unavailable, ///< No answer; nothing was written.
+    Ambiguous, ///< No answer to a write that may have taken effect, or may still do so.
+};
+
+/** Name of an error in the HTTP protocol and in messages. */
+std::string_view storeErrorName(StoreError error);
+
+/** Error of a name; empty if the name is not in the list. */
+std::optional<StoreError> storeErrorFromName(std::string_view name);
+
+template<class T>
+using StoreResult = tl::expected<T, StoreError>;
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/src/platform/storefaults.h
@@ -0,0 +1,18 @@
+#ifndef HIBISCUS_PLATFORM_STOREFAULTS_H
+#define HIBISCUS_PLATFORM_STOREFAULTS_H
+
+#include "core/millis.h"
+
+namespace Hibiscus
+{
+
+/** Faults that the in-memory store simulates. */
+struct StoreFaults {
+    bool down = false; ///< Every call fails and writes nothing.
+    Millis slow; ///< Each call is delayed by so much.
+    int loseAnswers = 0; ///< So many further writes take effect, but their answer is lost.
+};
+
+} // namespace Hibiscus
+
+#endif
