Object store over HTTP and in memory, and the platform stand-in

Cause: agents and the control tool need the platform's object API, and tests need one whose faults they control. Ruled out: the HTTP handler of cpp-httplib alone for lost answers, since it always writes a status line; the server class therefore handles the socket itself and closes it after the write took effect. Before: headers only. Conclusion: only a failed connect counts as nothing written; any other lack of an answer to a write is ambiguous.

--- a/src/platform/httpobjectstore.h
+++ b/src/platform/httpobjectstore.h
@@ -21,6 +21,7 @@
  *
  * Each call blocks and uses a connection of its own, since only a few calls a second are made and a kept-alive
  * connection that the platform has closed would make a write ambiguous for no reason. No call is ever repeated here.
+ * The process ignores SIGPIPE from the first instance on.
  */
 class HttpObjectStore : public ObjectStore
 {
--- /dev/null
+++ b/src/platform/memoryobjectstore.cpp
@@ -0,0 +1,221 @@
+#include "platform/memoryobjectstore.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace Hibiscus
+{
+
+namespace
+{
+
+std::chrono::microseconds toChrono(Millis duration)
+{
+    return std::chrono::microseconds(static_cast<long>(std::max(0.0, duration.value) * 1000));
+}
+
+} // namespace
+
+MemoryObjectStore::MemoryObjectStore(const Clock &clock, Millis callTimeout)
+    : clock_(clock)
+    , callTimeout_(callTimeout)
+{
+}
+
+void MemoryObjectStore::setFaults(const StoreFaults &faults)
+{
+    const Lock lock(mutex_);
+    faults_ = faults;
+    changed_.notify_all();
+}
+
+StoreFaults MemoryObjectStore::faults() const
+{
+    const Lock lock(mutex_);
+    return faults_;
+}
+
+void MemoryObjectStore::lapseLeases()
+{
+    const Lock lock(mutex_);
+    for (auto &entry : leases_) {
+        entry.second.expiry = clock_.now();
+    }
+}
+
+StoreResult<StoredObject> MemoryObjectStore::get(const std::string &key)
+{
+    return read<StoredObject>([&]() -> StoreResult<StoredObject> {
+        const auto found = objects_.find(key);
+        if (found == objects_.end()) {
+            return tl::unexpected(StoreError::NotFound);
+        }
+        return found->second;
+    });
+}
+
+StoreResult<std::uint64_t> MemoryObjectStore::create(const std::string &key, const std::string &value,
+                                                     const std::optional<Fence> &fence)
+{
+    return write<std::uint64_t>([&] { return put(key, value, 0, fence); });
+}
+
+StoreResult<std::uint64_t> MemoryObjectStore::update(const std::string &key, const std::string &value,
+                                                     std::uint64_t expectedVersion, const std::optional<Fence> &fence)
+{
+    return write<std::uint64_t>([&]() -> StoreResult<std::uint64_t> {
+        if (!objects_.contains(key)) {
+            return tl::unexpected(StoreError::NotFound);
+        }
+        return put(key, value, expectedVersion, fence);
+    });
+}
+
+StoreResult<std::optional<StoredObject>> MemoryObjectStore::watch(const std::string &key, std::uint64_t afterVersion,
+                                                                  Millis timeout)
+{
+    Lock lock(mutex_);
+    if (!delay(lock)) {
+        return tl::unexpected(StoreError::Unavailable);
+    }
+    const auto isNewer = [&] {
+        const auto found = objects_.find(key);
+        return found != objects_.end() && found->second.version > afterVersion;
+    };
+    changed_.wait_for(lock, toChrono(timeout), [&] { return !reachable() || isNewer(); });
+    if (!reachable()) {
+        return tl::unexpected(StoreError::Unavailable);
+    }
+    if (!isNewer()) {
+        return std::nullopt;
+    }
+    return objects_.at(key);
+}
+
+StoreResult<std::vector<ListedObject>> MemoryObjectStore::list(const std::string &prefix)
+{
+    return read<std::vector<ListedObject>>([&]() -> StoreResult<std::vector<ListedObject>> {
+        std::vector<ListedObject> listed;
+        for (auto entry = objects_.lower_bound(prefix); entry != objects_.end() && entry->first.starts_with(prefix);
+             ++entry) {
+            listed.push_back({entry->first, entry->second.version});
+        }
+        return listed;
+    });
+}
+
+StoreResult<Lease> MemoryObjectStore::acquire(const std::string &name, const std::string &holder, Millis duration)
+{
+    return write<Lease>([&]() -> StoreResult<Lease> {
+        LeaseRecord &record = leases_[name];
+        const bool held = isCurrent({name, record.fencing});
+        if (held && record.holder != holder) {
+            return tl::unexpected(StoreError::Conflict);
+        }
+        if (!held) {
+            ++record.fencing;
+        }
+        record.holder = holder;
+        record.expiry = clock_.now() + duration;
+        return Lease{name, holder, record.fencing, duration};
+    });
+}
+
+StoreResult<Lease> MemoryObjectStore::renew(const Lease &lease)
+{
+    return write<Lease>([&]() -> StoreResult<Lease> {
+        if (!isCurrent(lease.fence())) {
+            return tl::unexpected(StoreError::LeaseLost);
+        }
+        leases_[lease.name].expiry = clock_.now() + lease.duration;
+        return lease;
+    });
+}
+
+StoreResult<void> MemoryObjectStore::release(const Lease &lease)
+{
+    return write<void>([&]() -> StoreResult<void> {
+        if (!isCurrent(lease.fence())) {
+            return tl::unexpected(StoreError::LeaseLost);
+        }
+        leases_[lease.name].expiry = clock_.now();
+        return {};
+    });
+}
+
+void MemoryObjectStore::interrupt()
+{
+    const Lock lock(mutex_);
+    interrupted_ = true;
+    changed_.notify_all();
+}
+
+template<class T, class Action>
+StoreResult<T> MemoryObjectStore::read(Action action)
+{
+    Lock lock(mutex_);
+    if (!delay(lock) || !reachable()) {
+        return tl::unexpected(StoreError::Unavailable);
+    }
+    return action();
+}
+
+template<class T, class Action>
+StoreResult<T> MemoryObjectStore::write(Action action)
+{
+    Lock lock(mutex_);
+    const bool inTime = delay(lock);
+    if (!reachable()) {
+        return tl::unexpected(StoreError::Unavailable);
+    }
+    StoreResult<T> result = action();
+    const bool lost = result.has_value() && faults_.loseAnswers > 0;
+    if (lost) {
+        --faults_.loseAnswers;
+    }
+    if (lost || !inTime) {
+        return tl::unexpected(StoreError::Ambiguous);
+    }
+    return result;
+}
+
+bool MemoryObjectStore::delay(Lock &lock)
+{
+    const bool inTime = faults_.slow <= callTimeout_;
+    const Millis wait = inTime ? faults_.slow : callTimeout_;
+    changed_.wait_for(lock, toChrono(wait), [this] { return interrupted_; });
+    return inTime;
+}
+
+bool MemoryObjectStore::reachable() const
+{
+    return !faults_.down && !interrupted_;
+}
+
+bool MemoryObjectStore::isCurrent(const Fence &fence) const
+{
+    const auto found = leases_.find(fence.lease);
+    return found != leases_.end() && found->second.fencing == fence.number && clock_.now() < found->second.expiry;
+}
+
+StoreResult<std::uint64_t> MemoryObjectStore::put(const std::string &key, const std::string &value,
+                                                  std::uint64_t expectedVersion, const std::optional<Fence> &fence)
+{
+    if (value.size() > kMaximumValueBytes) {
+        return tl::unexpected(StoreError::TooLarge);
+    }
+    if (fence && !isCurrent(*fence)) {
+        return tl::unexpected(StoreError::LeaseLost);
+    }
+    const auto found = objects_.find(key);
+    const std::uint64_t version = found == objects_.end() ? 0 : found->second.version;
+    if (version != expectedVersion) {
+        return tl::unexpected(StoreError::Conflict);
+    }
+    objects_[key] = {value, version + 1};
+    changed_.notify_all();
+    return version + 1;
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/src/platform/objectprotocol.cpp
@@ -0,0 +1,132 @@
+#include "platform/objectprotocol.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace Hibiscus
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+bool isPlain(unsigned char character)
+{
+    return std::isalnum(character) != 0
+        || std::string_view("-._~/").find(static_cast<char>(character)) != std::string_view::npos;
+}
+
+template<class Number>
+std::optional<Number> parseNumber(std::string_view text, int base)
+{
+    Number number{};
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number, base);
+    if (parsed.ec != std::errc() || parsed.ptr != end) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+} // namespace
+
+std::string percentEncode(std::string_view text)
+{
+    std::string encoded;
+    for (const char character : text) {
+        if (isPlain(static_cast<unsigned char>(character))) {
+            encoded.push_back(character);
+        } else {
+            encoded.append(fmt::format("%{:02X}", static_cast<unsigned char>(character)));
+        }
+    }
+    return encoded;
+}
+
+std::string percentDecode(std::string_view text)
+{
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const std::optional<unsigned char> byte = text[i] == '%' && i + 2 < text.size()
+            ? parseNumber<unsigned char>(text.substr(i + 1, 2), 16)
+            : std::nullopt;
+        if (byte) {
+            decoded.push_back(static_cast<char>(*byte));
+            i += 2;
+        } else {
+            decoded.push_back(text[i]);
+        }
+    }
+    return decoded;
+}
+
+std::string formatVersionTag(std::uint64_t version)
+{
+    return fmt::format("\"{}\"", version);
+}
+
+std::optional<std::uint64_t> parseVersionTag(std::string_view tag)
+{
+    if (tag.size() < 3 || tag.front() != '"' || tag.back() != '"') {
+        return std::nullopt;
+    }
+    return parseNumber<std::uint64_t>(tag.substr(1, tag.size() - 2), 10);
+}
+
+std::string objectTarget(std::string_view key)
+{
+    return "/objects/" + percentEncode(key);
+}
+
+std::string leaseTarget(std::string_view name, std::string_view operation)
+{
+    return fmt::format("/leases/{}/{}", percentEncode(name), operation);
+}
+
+std::string serializeListing(const std::vector<ListedObject> &objects)
+{
+    Json listed = Json::array();
+    for (const ListedObject &object : objects) {
+        listed.push_back({{"key", object.key}, {"version", object.version}});
+    }
+    return Json{{"objects", std::move(listed)}}.dump();
+}
+
+std::optional<std::vector<ListedObject>> parseListing(std::string_view text)
+{
+    try {
+        const Json document = Json::parse(text);
+        std::vector<ListedObject> objects;
+        for (const Json &entry : document.at("objects")) {
+            objects.push_back({entry.at("key").get<std::string>(), entry.at("version").get<std::uint64_t>()});
+        }
+        return objects;
+    } catch (const Json::exception &) {
+        return std::nullopt;
+    }
+}
+
+int statusOf(StoreError error)
+{
+    switch (error) {
+    case StoreError::NotFound:
+        return 404;
+    case StoreError::Conflict:
+        return 412;
+    case StoreError::LeaseLost:
+        return 409;
+    case StoreError::TooLarge:
+        return 413;
+    case StoreError::Unavailable:
+    case StoreError::Ambiguous:
+        return 503;
+    }
+    return 500;
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/src/platform/objectprotocol.h
@@ -0,0 +1,44 @@
+#ifndef HIBISCUS_PLATFORM_OBJECTPROTOCOL_H
+#define HIBISCUS_PLATFORM_OBJECTPROTOCOL_H
+
+#include "platform/objectstore.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Hibiscus
+{
+
+/** Header with the error name of an answer that isn't a success. */
+constexpr const char *kErrorHeader = "Platform-Error";
+/** Headers of a write that is tied to a lease. */
+constexpr const char *kLeaseHeader = "Platform-Lease";
+constexpr const char *kFencingHeader = "Platform-Fencing";
+/** Status of a watch whose timeout passed without a newer version. */
+constexpr int kNotModified = 304;
+
+/** Escapes every byte other than letters, digits and "-._~/". */
+std::string percentEncode(std::string_view text);
+/** Reverses percentEncode(); an incomplete escape is left as it is. */
+std::string percentDecode(std::string_view text);
+
+/** Version as an entity tag, such as "7" with its quotes. */
+std::string formatVersionTag(std::uint64_t version);
+std::optional<std::uint64_t> parseVersionTag(std::string_view tag);
+
+std::string objectTarget(std::string_view key);
+std::string leaseTarget(std::string_view name, std::string_view operation);
+
+/** JSON text of a listing. */
+std::string serializeListing(const std::vector<ListedObject> &objects);
+std::optional<std::vector<ListedObject>> parseListing(std::string_view text);
+
+/** HTTP status of an error. Ambiguous has none, as it means that there is no answer. */
+int statusOf(StoreError error);
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/tools/platform_standin/callcounter.h
@@ -0,0 +1,36 @@
+#ifndef HIBISCUS_PLATFORM_STANDIN_CALLCOUNTER_H
+#define HIBISCUS_PLATFORM_STANDIN_CALLCOUNTER_H
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace Hibiscus
+{
+
+/** Counts the calls of the object API, as the platform's rates do. Usable from several threads. */
+class CallCounter
+{
+public:
+    /** Counts one call at its arrival; a watch is one call however long it waits. */
+    void count(const std::string &kind, const std::string &clientAddress);
+    /** Counts a connection that was closed because its client's address is refused. */
+    void countRefused();
+    void watchStarted();
+    void watchEnded();
+    /** JSON text: total, calls by kind and by client, refused connections, watches that are waiting. */
+    std::string report() const;
+
+private:
+    mutable std::mutex mutex_;
+    std::uint64_t total_ = 0;
+    std::uint64_t refused_ = 0;
+    std::int64_t waitingWatches_ = 0;
+    std::map<std::string, std::uint64_t> byKind_;
+    std::map<std::string, std::uint64_t> byClient_;
+};
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/tools/platform_standin/platformserver.cpp
@@ -0,0 +1,284 @@
+#include "platform_standin/platformserver.h"
+
+#include "platform/objectprotocol.h"
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace Hibiscus
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+/** The client decides when a call is late, not the store. */
+constexpr Millis kNoCallTimeout{std::numeric_limits<float>::max()};
+/** Longer waits are cut short, as a real service does. */
+constexpr Millis kMaximumWatch{60000};
+constexpr std::size_t kMaximumPayload = 2 * kMaximumValueBytes;
+
+void answerError(httplib::Response &response, StoreError error)
+{
+    if (error == StoreError::Ambiguous) {
+        DroppingServer::dropCurrentConnection();
+    }
+    response.status = statusOf(error);
+    response.set_header(kErrorHeader, std::string(storeErrorName(error)));
+}
+
+void answerBadRequest(httplib::Response &response, const std::string &reason)
+{
+    response.status = 400;
+    response.set_content(reason + "\n", "text/plain");
+}
+
+void answerObject(httplib::Response &response, const StoredObject &object)
+{
+    response.set_header("ETag", formatVersionTag(object.version));
+    response.set_content(object.value, "application/octet-stream");
+}
+
+std::optional<std::uint64_t> numberOf(const std::string &text)
+{
+    return parseVersionTag("\"" + text + "\"");
+}
+
+std::optional<Fence> fenceOf(const httplib::Request &request)
+{
+    if (!request.has_header(kLeaseHeader)) {
+        return std::nullopt;
+    }
+    // A missing or malformed number is 0, which no lease has, so the write is refused.
+    return Fence{percentDecode(request.get_header_value(kLeaseHeader)),
+                 numberOf(request.get_header_value(kFencingHeader)).value_or(0)};
+}
+
+std::string ipOf(const HostAddress &address, int &port)
+{
+    const std::string &text = address.value();
+    const std::size_t colon = text.rfind(':');
+    port = colon == std::string::npos ? 0 : std::atoi(text.c_str() + colon + 1);
+    return text.substr(0, colon);
+}
+
+} // namespace
+
+PlatformServer::PlatformServer(PlatformServerSettings settings)
+    : settings_(std::move(settings))
+    , store_(clock_, kNoCallTimeout)
+    , server_([this] { counter_.countRefused(); })
+{
+    server_.new_task_queue = [threads = settings_.threads] { return new httplib::ThreadPool(threads); };
+    server_.set_payload_max_length(kMaximumPayload);
+    server_.set_tcp_nodelay(true);
+    addObjectRoutes();
+    addLeaseRoutes();
+    addControlRoutes();
+}
+
+PlatformServer::~PlatformServer()
+{
+    close();
+}
+
+tl::expected<HostAddress, std::string> PlatformServer::open()
+{
+    int port = 0;
+    const std::string ip = ipOf(settings_.address, port);
+    if (port == 0) {
+        port = server_.bind_to_any_port(ip);
+    } else if (!server_.bind_to_port(ip, port)) {
+        port = -1;
+    }
+    if (port < 0) {
+        return tl::unexpected("can't listen on " + settings_.address.value());
+    }
+    thread_ = std::thread([this] { server_.listen_after_bind(); });
+    while (!server_.is_running()) {
+        std::this_thread::yield();
+    }
+    return HostAddress(ip + ":" + std::to_string(port));
+}
+
+void PlatformServer::close()
+{
+    if (thread_.joinable()) {
+        store_.interrupt();
+        server_.stop();
+        thread_.join();
+    }
+}
+
+std::string PlatformServer::applyFaults(const std::string &text)
+{
+    try {
+        const Json change = Json::parse(text);
+        StoreFaults faults = store_.faults();
+        std::optional<std::set<std::string>> refused;
+        bool lapse = false;
+        for (const auto &[name, value] : change.items()) {
+            if (name == "down") {
+                faults.down = value.get<bool>();
+            } else if (name == "slow_ms") {
+                faults.slow = Millis{value.get<double>()};
+            } else if (name == "lose_answers") {
+                faults.loseAnswers = value.get<int>();
+            } else if (name == "lapse_leases") {
+                lapse = value.get<bool>();
+            } else if (name == "refuse") {
+                refused = value.get<std::set<std::string>>();
+            } else {
+                return "unknown fault " + name;
+            }
+        }
+        store_.setFaults(faults);
+        if (refused) {
+            server_.refuse(*std::move(refused));
+        }
+        if (lapse) {
+            store_.lapseLeases();
+        }
+        return {};
+    } catch (const Json::exception &error) {
+        return error.what();
+    }
+}
+
+std::string PlatformServer::stats() const
+{
+    return counter_.report();
+}
+
+void PlatformServer::addObjectRoutes()
+{
+    server_.Get("/objects/(.+)", [this](const httplib::Request &request, httplib::Response &response) {
+        if (request.has_param("after")) {
+            watchObject(request, response);
+        } else {
+            getObject(request, response);
+        }
+    });
+    server_.Put("/objects/(.+)",
+                [this](const httplib::Request &request, httplib::Response &response) { putObject(request, response); });
+    server_.Get("/objects", [this](const httplib::Request &request, httplib::Response &response) {
+        counter_.count("list", request.remote_addr);
+        const auto listed = store_.list(request.get_param_value("prefix"));
+        if (!listed) {
+            answerError(response, listed.error());
+            return;
+        }
+        response.set_content(serializeListing(*listed), "application/json");
+    });
+}
+
+void PlatformServer::addLeaseRoutes()
+{
+    server_.Post(
+        "/leases/(.+)/(acquire|renew|release)",
+        [this](const httplib::Request &request, httplib::Response &response) { changeLease(request, response); });
+}
+
+void PlatformServer::addControlRoutes()
+{
+    server_.Get("/stats", [this](const httplib::Request &, httplib::Response &response) {
+        response.set_content(stats(), "application/json");
+    });
+    server_.Post("/faults", [this](const httplib::Request &request, httplib::Response &response) {
+        const std::string error = applyFaults(request.body);
+        if (!error.empty()) {
+            answerBadRequest(response, error);
+        }
+    });
+}
+
+void PlatformServer::getObject(const httplib::Request &request, httplib::Response &response)
+{
+    counter_.count("get", request.remote_addr);
+    const auto object = store_.get(request.matches[1]);
+    if (!object) {
+        answerError(response, object.error());
+        return;
+    }
+    answerObject(response, *object);
+}
+
+void PlatformServer::watchObject(const httplib::Request &request, httplib::Response &response)
+{
+    counter_.count("watch", request.remote_addr);
+    const std::optional<std::uint64_t> after = numberOf(request.get_param_value("after"));
+    const std::optional<std::uint64_t> wait = numberOf(request.get_param_value("wait_ms"));
+    if (!after || !wait) {
+        answerBadRequest(response, "after and wait_ms must be numbers");
+        return;
+    }
+    counter_.watchStarted();
+    const auto object =
+        store_.watch(request.matches[1], *after, std::min(Millis{static_cast<double>(*wait)}, kMaximumWatch));
+    counter_.watchEnded();
+    if (!object) {
+        answerError(response, object.error());
+    } else if (!object->has_value()) {
+        response.status = kNotModified;
+    } else {
+        answerObject(response, **object);
+    }
+}
+
+void PlatformServer::putObject(const httplib::Request &request, httplib::Response &response)
+{
+    counter_.count("put", request.remote_addr);
+    const std::string key = request.matches[1];
+    const bool creates = request.get_header_value("If-None-Match") == "*";
+    const std::optional<std::uint64_t> expected = parseVersionTag(request.get_header_value("If-Match"));
+    if (!creates && !expected) {
+        answerBadRequest(response, "a write needs If-None-Match: * or If-Match with a version");
+        return;
+    }
+    const auto version = creates ? store_.create(key, request.body, fenceOf(request))
+                                 : store_.update(key, request.body, *expected, fenceOf(request));
+    if (!version) {
+        answerError(response, version.error());
+        return;
+    }
+    response.status = creates ? 201 : 200;
+    response.set_header("ETag", formatVersionTag(*version));
+}
+
+void PlatformServer::changeLease(const httplib::Request &request, httplib::Response &response)
+{
+    const std::string operation = request.matches[2];
+    counter_.count(operation, request.remote_addr);
+    Lease lease;
+    try {
+        const Json body = Json::parse(request.body);
+        lease = {request.matches[1], body.at("holder").get<std::string>(), body.value("fencing", std::uint64_t(0)),
+                 Millis{body.at("duration_ms").get<double>()}};
+    } catch (const Json::exception &error) {
+        answerBadRequest(response, error.what());
+        return;
+    }
+    if (operation == "release") {
+        const auto released = store_.release(lease);
+        if (!released) {
+            answerError(response, released.error());
+            return;
+        }
+    } else {
+        const auto granted =
+            operation == "acquire" ? store_.acquire(lease.name, lease.holder, lease.duration) : store_.renew(lease);
+        if (!granted) {
+            answerError(response, granted.error());
+            return;
+        }
+        lease = *granted;
+    }
+    response.set_content(Json{{"fencing", lease.fencing}}.dump(), "application/json");
+}
+
+} // namespace Hibiscus
