--- /dev/null
+++ b/src/config/daemonsettings.h
@@ -0,0 +1,39 @@
+#ifndef HIBISCUS_CONFIG_DAEMONSETTINGS_H
+#define HIBISCUS_CONFIG_DAEMONSETTINGS_H
+
+#include "config/configerror.h"
+#include "core/ids.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+namespace Hibiscus
+{
+
+/** Settings of one daemon: who it is, where it listens and whom it talks to. */
+struct DaemonSettings {
+    ServerName server; ///< Backend server beside which the daemon runs; a name of the inventory.
+    FailureDomainName domain;
+    HostAddress callers; ///< Listener for callers and operators; may be an unspecified address such as 0.0.0.0.
+    HostAddress local; ///< Listener for downstream calls of the local backend server; a loopback address.
+    HostAddress peers; ///< Listener for other daemons, under the address by which they reach it.
+    HostAddress backend; ///< Address of the local backend server.
+    std::string healthPath; ///< Path of the backend server's health endpoint.
+    HostAddress platform; ///< Address of the platform's object API.
+    std::vector<HostAddress> seeds; ///< Peers listeners of daemons to announce this one to.
+    int workers = 2; ///< Threads that run the daemon's I/O.
+    std::string logDirectory; ///< Folder of the log files; empty for standard error.
+
+    friend bool operator==(const DaemonSettings &, const DaemonSettings &) = default;
+};
+
+/** Reads a daemon's settings file: JSON with comments. Every value is checked with DaemonSettingsCheck. */
+tl::expected<DaemonSettings, std::vector<ConfigError>> parseDaemonSettings(std::string_view text,
+                                                                           const std::string &file);
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/src/config/inventory.h
@@ -0,0 +1,54 @@
+#ifndef HIBISCUS_CONFIG_INVENTORY_H
+#define HIBISCUS_CONFIG_INVENTORY_H
+
+#include "config/configerror.h"
+#include "core/ids.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+namespace Hibiscus
+{
+
+/** One backend server with its capacity from the operators' asset register. */
+struct BackendServerEntry {
+    ServerName name;
+    ServiceName service;
+    FailureDomainName domain;
+    int slots = 0; ///< Requests that the server runs at the same time.
+    int connections = 0; ///< Connections that the server accepts at the same time.
+
+    friend bool operator==(const BackendServerEntry &, const BackendServerEntry &) = default;
+};
+
+struct FailureDomainEntry {
+    FailureDomainName name;
+    std::string region;
+
+    friend bool operator==(const FailureDomainEntry &, const FailureDomainEntry &) = default;
+};
+
+/** Services and servers of a deployment, and where they are located. */
+struct Inventory {
+    std::vector<FailureDomainEntry> domains;
+    std::vector<ServiceName> services;
+    std::vector<BackendServerEntry> servers;
+
+    friend bool operator==(const Inventory &, const Inventory &) = default;
+};
+
+/** Server of that name; null if the inventory has none. */
+const BackendServerEntry *findServer(const Inventory &inventory, const ServerName &name);
+
+/** Servers of one failure domain in the order of the inventory: the domain's roster. */
+std::vector<ServerName> rosterOf(const Inventory &inventory, const FailureDomainName &domain);
+
+/** Reads an inventory file: JSON with comments. All errors of the file are returned together. */
+tl::expected<Inventory, std::vector<ConfigError>> parseInventory(std::string_view text, const std::string &file);
+
+} // namespace Hibiscus
+
+#endif
