Public headers of the membership library

The control loop of the daemon is built against these. A poll carries the remainder of the agent's lease together with an echo of the receiver's last response: without it a delayed poll would extend the lease by its delay.

--- /dev/null
+++ b/src/membership/controlmessages.h
@@ -0,0 +1,151 @@
+#ifndef HIBISCUS_MEMBERSHIP_CONTROLMESSAGES_H
+#define HIBISCUS_MEMBERSHIP_CONTROLMESSAGES_H
+
+#include "core/ids.h"
+#include "core/millis.h"
+#include "membership/memberrecord.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Hibiscus
+{
+
+/** Sender of a control message and what it has: a receiver that is behind fetches from this address. */
+struct Sender {
+    ServerName name;
+    Incarnation incarnation;
+    HostAddress address;
+    FailureDomainName domain;
+    ConfigVersion version; ///< Adopted configuration.
+    std::uint64_t viewVersion = 0; ///< Version of the sender's member table; only comparable for one incarnation.
+
+    friend bool operator==(const Sender &, const Sender &) = default;
+};
+
+/**
+ * Remainder of the sender's freshness lease in a message that was not asked for. It counts from the time at which the
+ * receiver sent the response that is echoed, so a delayed message extends nothing.
+ */
+struct EchoedLease {
+    Incarnation receiver; ///< Process that sent the echoed response.
+    TimePoint echo; ///< Its own clock reading, PollResponse::sentAt.
+    Millis remaining; ///< From the arrival of that response to the end of the sender's lease.
+
+    friend bool operator==(const EchoedLease &, const EchoedLease &) = default;
+};
+
+/** Member that the receiver of a poll shall poll in turn. */
+struct RelayTarget {
+    ServerName name;
+    HostAddress address;
+
+    friend bool operator==(const RelayTarget &, const RelayTarget &) = default;
+};
+
+/** Heartbeat of an agent, or of a relay on its behalf. */
+struct Poll {
+    Sender from;
+    ServerName agent; ///< Agent that started the round; the sender itself unless the poll was relayed.
+    HostAddress agentAddress;
+    std::uint64_t round = 0; ///< Increases with each round of one agent.
+    std::uint64_t term = 0; ///< Version of the platform's agent object as far as the agent knows it.
+    bool fresh = false; ///< The agent held a lease when it sent the round.
+    std::uint64_t knownRevision = 0; ///< Revision of the receiver's record in the sender's table.
+    bool knownUp = true;
+    std::optional<EchoedLease> lease;
+    std::vector<RelayTarget> relayTo;
+
+    friend bool operator==(const Poll &, const Poll &) = default;
+};
+
+struct PollResponse {
+    ServerName name;
+    Incarnation incarnation;
+    std::uint64_t round = 0;
+    std::uint64_t revision = 0;
+    ConfigVersion adopted;
+    bool counts = false; ///< Fresh without a gap for L plus 10%: may count in a majority.
+    Millis leaseRemaining; ///< 0 when not fresh.
+    TimePoint sentAt; ///< Reading of the responder's clock, to be echoed.
+    std::optional<MemberRecord> record; ///< Set when the poll showed that the poller's record is out of date.
+
+    friend bool operator==(const PollResponse &, const PollResponse &) = default;
+};
+
+/** Pushes records and entries; also the first message of a new process, and a relay's report. */
+struct Announce {
+    Sender from;
+    std::vector<MemberRecord> records;
+    std::vector<PayloadEntry> entries;
+    std::vector<PollResponse> reports; ///< Responses that a relay collected for its agent.
+
+    friend bool operator==(const Announce &, const Announce &) = default;
+};
+
+struct AnnounceResponse {
+    Sender from;
+    Millis leaseRemaining; ///< Counts from the time at which the announce was sent.
+    ServerName agent; ///< Agent of the responder's domain; empty when unknown.
+    HostAddress agentAddress;
+
+    friend bool operator==(const AnnounceResponse &, const AnnounceResponse &) = default;
+};
+
+/** Asks for the difference of the receiver's table, and gives the sender's own in an exchange between domains. */
+struct ViewRequest {
+    Sender from;
+    Incarnation table; ///< Incarnation of the receiver that @p since refers to.
+    std::uint64_t since = 0; ///< 0 asks for the whole table.
+    std::vector<MemberRecord> records;
+    std::vector<PayloadEntry> entries;
+
+    friend bool operator==(const ViewRequest &, const ViewRequest &) = default;
+};
+
+struct ViewDifference {
+    Sender from; ///< Sender::viewVersion is the version that the receiver has after this difference.
+    ServerName agent; ///< Agent of the responder's domain; empty when unknown.
+    HostAddress agentAddress;
+    std::vector<MemberRecord> records;
+    std::vector<PayloadEntry> entries;
+
+    friend bool operator==(const ViewDifference &, const ViewDifference &) = default;
+};
+
+struct LeaseRequest {
+    Sender from;
+
+    friend bool operator==(const LeaseRequest &, const LeaseRequest &) = default;
+};
+
+struct LeaseResponse {
+    Sender from;
+    Millis leaseRemaining; ///< Counts from the time at which the request was sent; 0 when not fresh.
+
+    friend bool operator==(const LeaseResponse &, const LeaseResponse &) = default;
+};
+
+struct ConfigurationRequest {
+    ConfigVersion have; ///< The text is left out when it is not newer.
+
+    friend bool operator==(const ConfigurationRequest &, const ConfigurationRequest &) = default;
+};
+
+struct ConfigurationText {
+    ConfigVersion version;
+    std::string text; ///< Opaque; empty when the requester already has the version.
+
+    friend bool operator==(const ConfigurationText &, const ConfigurationText &) = default;
+};
+
+using ControlRequest = std::variant<Poll, Announce, ViewRequest, LeaseRequest, ConfigurationRequest>;
+/** Same order as ControlRequest: alternative i answers request alternative i. */
+using ControlResponse = std::variant<PollResponse, AnnounceResponse, ViewDifference, LeaseResponse, ConfigurationText>;
+
+} // namespace Hibiscus
+
+#endif
