--- /dev/null
+++ b/src/daemon/callattempts.cpp
@@ -0,0 +1,312 @@
+#include "daemon/callattempts.h"
+
+#include "core/logevent.h"
+#include "daemon/headernames.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include <asio/post.hpp>
+
+namespace Hibiscus
+{
+
+namespace
+{
+
+/** Shortest wait before a connection counts as silent. */
+constexpr Millis kMinimumSilence{250};
+constexpr double kSilenceFactor = 3;
+/** Time between two outcome queries of an attempt whose connection is lost. */
+constexpr Millis kQueryInterval{100};
+constexpr Millis kQueryTimeout{1000};
+/** Queries without an answer after which a lost repeatable attempt is given up. */
+constexpr int kMaximumFailedQueries = 3;
+/** As ServerGateway awaits a non-repeatable attempt beyond its deadline. */
+constexpr Millis kNonRepeatableGrace{10000};
+constexpr int kStatusRunning = 202;
+
+std::chrono::microseconds toChrono(Millis duration)
+{
+    return std::chrono::microseconds(static_cast<long>(std::max(0.0, duration.value) * 1000));
+}
+
+} // namespace
+
+CallAttempts::CallAttempts(CallServices &services, CallRequest call, CallCallback callback)
+    : services_(services)
+    , call_(std::move(call))
+    , callback_(std::move(callback))
+    , strand_(asio::make_strand(services.context))
+    , queryTimer_(strand_)
+    , allowance_(call_.allowance)
+    , policy_(call_.repeatable, call_.root.identity.has_value())
+    , started_(services.clock.now())
+{
+}
+
+void CallAttempts::post(Step step)
+{
+    asio::post(strand_, [self = shared_from_this(), step = std::move(step)] { step(*self); });
+}
+
+void CallAttempts::start()
+{
+    if (!allowance_.takeOne()) {
+        afterFailure(ErrorKind::AttemptsExhausted, false);
+        return;
+    }
+    post(&CallAttempts::beginAttempt);
+}
+
+TimePoint CallAttempts::endBy() const
+{
+    return call_.repeatable ? call_.deadline : call_.deadline + kNonRepeatableGrace;
+}
+
+Millis CallAttempts::silenceThreshold() const
+{
+    const Millis usual = services_.tables.callLatency.with(
+        [this](const LatencyTracker &tracker) { return tracker.quantile(call_.service, 0.99); });
+    return std::max(kMinimumSilence, usual * kSilenceFactor);
+}
+
+void CallAttempts::beginAttempt()
+{
+    const Level level = levelOf(call_.root.rank, call_.root.bucket);
+    if (services_.clock.now() >= call_.deadline) {
+        afterFailure(ErrorKind::DeadlineBeforeRun, false);
+        return;
+    }
+    const Result<ServerView> server = services_.routing.with([&](RoutingTable &routing) -> Result<ServerView> {
+        if (!routing.subtreeAdmits(call_.service, call_.root.requestClass, level)) {
+            return tl::unexpected(ErrorKind::Overloaded);
+        }
+        return routing.pick(call_.service, level, tried_);
+    });
+    if (!server) {
+        afterFailure(server.error(), false);
+        return;
+    }
+    const auto attempt = std::make_shared<Attempt>();
+    attempt->id = AttemptId(services_.random.with([](DeviceRandom &random) { return random.next(); }));
+    attempt->server = *server;
+    attempt->granted = allowance_.grantSubtree();
+    attempt->started = services_.clock.now();
+    tried_.push_back(server->name);
+    services_.tables.metrics.recordAttempt();
+    send(attempt);
+}
+
+void CallAttempts::send(const AttemptPtr &attempt)
+{
+    CallMessage message{CallPurpose::Execute, attempt->id, call_};
+    message.call.allowance = attempt->granted;
+    if (attempt->server.name == services_.self.server) {
+        services_.gateway.execute(std::move(message),
+                                  [self = shared_from_this(), attempt](CallAnswer answer) {
+                                      self->post([attempt, answer = std::move(answer)](CallAttempts &call) mutable {
+                                          call.onAnswer(attempt, std::move(answer));
+                                      });
+                                  });
+        return;
+    }
+    sendRemote(attempt, message);
+    armQueryTimer(attempt, silenceThreshold());
+}
+
+void CallAttempts::sendRemote(const AttemptPtr &attempt, const CallMessage &message)
+{
+    HttpCallOptions options;
+    options.answerTimeout = endBy() - services_.clock.now() + kQueryTimeout;
+    attempt->connection = services_.client.send(
+        attempt->server.address, encodeCall(message, services_.clock), options,
+        [self = shared_from_this(), attempt](HttpResult result) {
+            self->post([attempt, result = std::move(result)](CallAttempts &call) mutable {
+                attempt->connection.reset();
+                if (!result) {
+                    call.onTransportError(attempt, result.error());
+                    return;
+                }
+                const auto echoed = result->headers.find(HeaderName::kAttempt);
+                if (echoed != std::to_string(attempt->id.value())) {
+                    call.onTransportError(attempt, TransportError::MalformedAnswer);
+                    return;
+                }
+                call.onAnswer(attempt, decodeAnswer(std::move(*result)));
+            });
+        });
+}
+
+void CallAttempts::onTransportError(const AttemptPtr &attempt, TransportError error)
+{
+    if (attempt->ended) {
+        return;
+    }
+    if (error == TransportError::ConnectFailed || error == TransportError::NotWritten) {
+        CallAnswer answer;
+        answer.response = tl::unexpected(ErrorKind::Unreachable);
+        answer.spent = 0;
+        endAttempt(attempt, answer, error != TransportError::ConnectFailed);
+        afterFailure(ErrorKind::Unreachable, true);
+        return;
+    }
+    queryOutcome(attempt);
+}
+
+void CallAttempts::onAnswer(const AttemptPtr &attempt, CallAnswer answer)
+{
+    if (attempt->ended) {
+        return;
+    }
+    endAttempt(attempt, answer, true);
+    if (answer.response) {
+        finish(std::move(answer));
+        return;
+    }
+    const ErrorKind kind = answer.response.error();
+    lastAnswer_ = std::move(answer);
+    afterFailure(kind, true);
+}
+
+void CallAttempts::armQueryTimer(const AttemptPtr &attempt, Millis delay)
+{
+    queryTimer_.expires_after(toChrono(delay));
+    queryTimer_.async_wait([self = shared_from_this(), attempt](const asio::error_code &error) {
+        if (!error && !attempt->ended) {
+            self->queryOutcome(attempt);
+        }
+    });
+}
+
+void CallAttempts::queryOutcome(const AttemptPtr &attempt)
+{
+    if (attempt->queryPending) {
+        return;
+    }
+    if (services_.clock.now() >= endBy()) {
+        CallAnswer answer;
+        answer.response = tl::unexpected(ErrorKind::DeadlineExceeded);
+        onAnswer(attempt, std::move(answer));
+        return;
+    }
+    attempt->queryPending = true;
+    services_.tables.metrics.recordOutcomeQuery();
+    HttpCallOptions options;
+    options.freshConnection = true;
+    options.connectTimeout = kQueryTimeout;
+    options.answerTimeout = kQueryTimeout;
+    HttpRequest request{"GET", "/attempts/" + std::to_string(attempt->id.value()), {}, ""};
+    request.headers.set(HeaderName::kIncarnation, std::to_string(attempt->server.incarnation.value()));
+    services_.client.send(attempt->server.address, std::move(request), options,
+                          [self = shared_from_this(), attempt](HttpResult result) {
+                              self->post([attempt, result = std::move(result)](CallAttempts &call) mutable {
+                                  call.onOutcome(attempt, std::move(result));
+                              });
+                          });
+}
+
+void CallAttempts::onOutcome(const AttemptPtr &attempt, HttpResult result)
+{
+    attempt->queryPending = false;
+    if (attempt->ended) {
+        return;
+    }
+    if (result && result->status == kStatusRunning) {
+        attempt->failedQueries = 0;
+        armQueryTimer(attempt, attempt->connection ? silenceThreshold() : kQueryInterval);
+        return;
+    }
+    if (result) {
+        logEvent(LogEvent::ConnectionSilent,
+                 "outcome of attempt " + std::to_string(attempt->id.value()) + " on "
+                     + attempt->server.name.value() + " came over a new connection");
+        onAnswer(attempt, decodeAnswer(std::move(*result)));
+        return;
+    }
+    ++attempt->failedQueries;
+    const bool giveUp = attempt->failedQueries >= kMaximumFailedQueries;
+    if (!giveUp || !call_.repeatable) {
+        armQueryTimer(attempt, kQueryInterval);
+        return;
+    }
+    CallAnswer answer;
+    answer.response = tl::unexpected(ErrorKind::ConnectionLost);
+    onAnswer(attempt, std::move(answer));
+}
+
+void CallAttempts::endAttempt(const AttemptPtr &attempt, const CallAnswer &answer, bool connected)
+{
+    attempt->ended = true;
+    queryTimer_.cancel();
+    if (attempt->connection) {
+        attempt->connection->cancel();
+        attempt->connection.reset();
+    }
+    const bool whole = answer.outcome() != Outcome::Unknown;
+    allowance_.settleChild(attempt->granted, whole ? answer.spent : std::nullopt);
+    AnswerHint hint;
+    hint.headroom = answer.headroom;
+    hint.answered = answer.headroom.has_value();
+    if (answer.level) {
+        hint.level = Level{*answer.level};
+    }
+    const TimePoint now = services_.clock.now();
+    services_.routing.with([&](RoutingTable &routing) {
+        if (!connected) {
+            routing.connectFailed(call_.service, attempt->server.name);
+            return;
+        }
+        routing.finished(call_.service, attempt->server.name, hint);
+        if (answer.subtreeLevel) {
+            routing.reportSubtree(call_.service, call_.root.requestClass, Level{*answer.subtreeLevel});
+        }
+        if (answer.response) {
+            routing.retryBudget(call_.service).recordCompletion(now);
+        } else if (answer.response.error() == ErrorKind::Overloaded) {
+            routing.retryBudget(call_.service).recordShed(now);
+        }
+    });
+    if (answer.response) {
+        services_.tables.callLatency.with(
+            [&](LatencyTracker &tracker) { tracker.record(call_.service, now - attempt->started); });
+    }
+}
+
+void CallAttempts::afterFailure(ErrorKind kind, bool mayRetry)
+{
+    const TimePoint now = services_.clock.now();
+    const Millis timeLeft = mayRetry ? call_.deadline - now : Millis{0};
+    const Millis expected = services_.tables.callLatency.with(
+        [this](const LatencyTracker &tracker) { return tracker.quantile(call_.service, 0.5); });
+    const RetryDecision decision = services_.routing.with([&](RoutingTable &routing) {
+        return policy_.decide(kind, timeLeft, expected, allowance_, routing.retryBudget(call_.service), now);
+    });
+    if (decision.retry) {
+        services_.tables.metrics.recordRetry();
+        beginAttempt();
+        return;
+    }
+    CallAnswer answer = std::move(lastAnswer_);
+    answer.response = tl::unexpected(decision.answer);
+    if (answer.outcome() == Outcome::Unknown) {
+        logEvent(LogEvent::AttemptOutcomeUnknown, std::string(answerFor(decision.answer).name) + " for "
+                     + call_.method + " " + call_.service.value() + call_.path);
+    }
+    finish(std::move(answer));
+}
+
+void CallAttempts::finish(CallAnswer answer)
+{
+    const bool known = answer.outcome() != Outcome::Unknown;
+    answer.spent = known ? std::optional(allowance_.spent()) : std::nullopt;
+    if (answer.response) {
+        services_.routing.with(
+            [&](RoutingTable &routing) { routing.recordSpent(call_.service, allowance_.spent()); });
+    }
+    CallCallback callback = std::move(callback_);
+    callback_ = nullptr;
+    callback(std::move(answer));
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/src/daemon/callattempts.h
@@ -0,0 +1,74 @@
+#ifndef HIBISCUS_DAEMON_CALLATTEMPTS_H
+#define HIBISCUS_DAEMON_CALLATTEMPTS_H
+
+#include "daemon/callservices.h"
+#include "retry/attemptallowance.h"
+#include "retry/retrypolicy.h"
+
+#include <memory>
+#include <vector>
+
+#include <asio/steady_timer.hpp>
+#include <asio/strand.hpp>
+
+namespace Hibiscus
+{
+
+/**
+ * Sees one call through: chooses a server, sends the attempt, asks for the outcome of one that went silent, and retries
+ * as far as RetryPolicy allows. All steps run on the strand of the call.
+ */
+class CallAttempts : public std::enable_shared_from_this<CallAttempts>
+{
+public:
+    /** @p callback is called once with the end of the call; its spent attempts include those of this call. */
+    CallAttempts(CallServices &services, CallRequest call, CallCallback callback);
+
+    void start();
+
+private:
+    /** One attempt on one server. */
+    struct Attempt {
+        AttemptId id;
+        ServerView server;
+        int granted = 0;
+        TimePoint started;
+        std::shared_ptr<HttpCall> connection; ///< Null for the local server, or once the connection is lost.
+        int failedQueries = 0;
+        bool queryPending = false;
+        bool ended = false;
+    };
+    using AttemptPtr = std::shared_ptr<Attempt>;
+    /** Function on the strand of the call. */
+    using Step = std::function<void(CallAttempts &)>;
+
+    void post(Step step);
+    void beginAttempt();
+    void send(const AttemptPtr &attempt);
+    void sendRemote(const AttemptPtr &attempt, const CallMessage &message);
+    void onTransportError(const AttemptPtr &attempt, TransportError error);
+    void onAnswer(const AttemptPtr &attempt, CallAnswer answer);
+    void armQueryTimer(const AttemptPtr &attempt, Millis delay);
+    void queryOutcome(const AttemptPtr &attempt);
+    void onOutcome(const AttemptPtr &attempt, HttpResult result);
+    void endAttempt(const AttemptPtr &attempt, const CallAnswer &answer, bool connected);
+    void afterFailure(ErrorKind kind, bool mayRetry);
+    void finish(CallAnswer answer);
+    Millis silenceThreshold() const;
+    TimePoint endBy() const;
+
+    CallServices &services_;
+    CallRequest call_;
+    CallCallback callback_;
+    asio::strand<asio::io_context::executor_type> strand_;
+    asio::steady_timer queryTimer_;
+    AttemptAllowance allowance_;
+    RetryPolicy policy_;
+    std::vector<ServerName> tried_;
+    TimePoint started_;
+    CallAnswer lastAnswer_;
+};
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/src/daemon/callhandler.cpp
@@ -0,0 +1,213 @@
+#include "daemon/callhandler.h"
+
+#include "core/contenthash.h"
+#include "daemon/callmessage.h"
+#include "daemon/headernames.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace Hibiscus
+{
+
+namespace
+{
+
+constexpr int kBuckets = 128;
+
+template<class Number>
+std::optional<Number> parseNumber(std::string_view text, int base)
+{
+    Number value{};
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value, base);
+    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+HttpResponse failure(ErrorKind kind)
+{
+    CallAnswer answer;
+    answer.response = tl::unexpected(kind);
+    return encodeAnswer(std::move(answer));
+}
+
+/** Answer to a caller: the hints between daemons are left out. */
+HttpResponse callerAnswer(CallAnswer answer)
+{
+    answer.spent.reset();
+    answer.level.reset();
+    answer.subtreeLevel.reset();
+    answer.headroom.reset();
+    return encodeAnswer(std::move(answer));
+}
+
+/** Deadline that the caller asked for, no later than that of the class. */
+Result<Millis> deadlineOf(const HttpRequest &request, const RequestClass &requestClass)
+{
+    const auto text = request.headers.find(HeaderName::kDeadline);
+    if (!text) {
+        return requestClass.deadline;
+    }
+    const auto wanted = parseNumber<std::uint32_t>(*text, 10);
+    if (!wanted) {
+        return tl::unexpected(ErrorKind::BadRequest);
+    }
+    return std::min(requestClass.deadline, Millis{static_cast<double>(*wanted)});
+}
+
+/** Key of a call among the calls below one attempt: the same request gets the same key on every run. */
+ChildKey childKey(const HttpRequest &request, const CallRequest &call)
+{
+    if (const auto given = request.headers.find(HeaderName::kCallKey)) {
+        return {"k" + std::to_string(stableHash(*given)), true};
+    }
+    return {"h" + std::to_string(call.signature.value()), false};
+}
+
+} // namespace
+
+CallHandler::CallHandler(CallServices &services, CallCoordinator &coordinator, const ServingGate &gate)
+    : services_(services)
+    , coordinator_(coordinator)
+    , gate_(gate)
+{
+}
+
+void CallHandler::handle(HttpRequest request, HttpResponder respond)
+{
+    const auto context = request.headers.find(HeaderName::kContext);
+    if (!context) {
+        handleRoot(std::move(request), std::move(respond));
+        return;
+    }
+    const auto attempt = parseNumber<std::uint64_t>(*context, 16);
+    if (!attempt) {
+        respond(failure(ErrorKind::BadRequest));
+        return;
+    }
+    handleChild(AttemptId(*attempt), std::move(request), std::move(respond));
+}
+
+Result<CallRequest> CallHandler::baseCall(const HttpRequest &request, const Configuration &configuration) const
+{
+    const std::optional<ServiceTarget> target = parseServiceTarget(request.target);
+    if (!target) {
+        return tl::unexpected(ErrorKind::BadRequest);
+    }
+    const std::vector<ServiceName> &services = configuration.inventory.services;
+    if (std::find(services.begin(), services.end(), target->service) == services.end()) {
+        return tl::unexpected(ErrorKind::UnknownService);
+    }
+    CallRequest call;
+    call.service = target->service;
+    call.method = request.method;
+    call.path = target->path;
+    call.headers = endToEndHeaders(request.headers);
+    call.body = request.body;
+    call.signature = requestSignature(call.service, call.method, call.path, call.body);
+    return call;
+}
+
+void CallHandler::drain()
+{
+    draining_ = true;
+}
+
+int CallHandler::activeCalls() const
+{
+    return activeCalls_;
+}
+
+void CallHandler::handleRoot(HttpRequest request, HttpResponder respond)
+{
+    if (draining_) {
+        respond(failure(ErrorKind::Draining));
+        return;
+    }
+    const ConfigurationPtr configuration = services_.tables.configuration.current();
+    if (!configuration || !gate_.mayServe()) {
+        respond(failure(ErrorKind::RulesNotFresh));
+        return;
+    }
+    Result<CallRequest> call = baseCall(request, *configuration);
+    if (!call) {
+        respond(failure(call.error()));
+        return;
+    }
+    const RequestClass &requestClass = classify(configuration->rules, call->service, call->method, call->path);
+    const Result<Millis> deadline = deadlineOf(request, requestClass);
+    std::optional<RequestIdentity> identity;
+    if (const auto text = request.headers.find(HeaderName::kRequestId)) {
+        identity = parseRequestIdentity(*text);
+        if (!identity) {
+            respond(failure(ErrorKind::BadRequest));
+            return;
+        }
+    }
+    if (!deadline) {
+        respond(failure(deadline.error()));
+        return;
+    }
+    // The identity in the answer lets the caller resend the same user action.
+    const RequestIdentity named =
+        identity ? *identity : services_.tables.arbiter.with([](Arbiter &arbiter) { return arbiter.issue(); });
+    const std::string name = formatRequestIdentity(named);
+    const TimePoint started = services_.clock.now();
+    call->root = {requestClass.name, requestClass.rank, static_cast<int>(stableHash(name) % kBuckets), identity};
+    call->repeatable = requestClass.repeatable;
+    call->deadline = started + *deadline;
+    call->allowance = kAttemptsPerTap;
+    ++activeCalls_;
+    coordinator_.run(std::move(*call), [this, respond = std::move(respond), name, started,
+                                        className = requestClass.name](CallAnswer answer) {
+        const std::optional<ErrorKind> error =
+            answer.response ? std::nullopt : std::optional(answer.response.error());
+        services_.tables.metrics.recordCall(className, error, services_.clock.now() - started);
+        HttpResponse response = callerAnswer(std::move(answer));
+        response.headers.set(HeaderName::kRequestId, name);
+        respond(std::move(response));
+        --activeCalls_;
+    });
+}
+
+void CallHandler::handleChild(AttemptId context, HttpRequest request, HttpResponder respond)
+{
+    const ConfigurationPtr configuration = services_.tables.configuration.current();
+    if (!configuration || !gate_.mayServe()) {
+        respond(failure(ErrorKind::RulesNotFresh));
+        return;
+    }
+    Result<CallRequest> call = baseCall(request, *configuration);
+    if (!call) {
+        respond(failure(call.error()));
+        return;
+    }
+    const int peak = services_.routing.with(
+        [&](const RoutingTable &routing) { return routing.learnedPeak(call->service); });
+    const ChildKey key = childKey(request, *call);
+    std::optional<ChildCall> child = services_.tables.scopes.with(
+        [&](CallScopeTable &scopes) { return scopes.beginChild(context, key, peak); });
+    if (!child) {
+        // The attempt has ended, so nobody waits for the result of this call.
+        respond(failure(ErrorKind::DeadlineBeforeRun));
+        return;
+    }
+    const bool repeatable = classify(configuration->rules, call->service, call->method, call->path).repeatable;
+    call->root = child->root;
+    call->callPath = child->callPath;
+    call->deadline = child->deadline;
+    call->repeatable = repeatable;
+    call->allowance = child->granted;
+    ++activeCalls_;
+    coordinator_.run(std::move(*call), [this, respond = std::move(respond), context, repeatable,
+                                        child = *child](CallAnswer answer) {
+        services_.tables.scopes.with(
+            [&](CallScopeTable &scopes) { scopes.endChild(context, child, answer, repeatable); });
+        respond(callerAnswer(std::move(answer)));
+        --activeCalls_;
+    });
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/src/daemon/callhandler.h
@@ -0,0 +1,45 @@
+#ifndef HIBISCUS_DAEMON_CALLHANDLER_H
+#define HIBISCUS_DAEMON_CALLHANDLER_H
+
+#include "daemon/callcoordinator.h"
+#include "daemon/callservices.h"
+#include "daemon/servinggate.h"
+#include "http/httphandler.h"
+
+#include <atomic>
+
+namespace Hibiscus
+{
+
+/** Calls of callers and of the local backend server, with targets of the form /svc/<service>/<path>. */
+class CallHandler : public HttpHandler
+{
+public:
+    CallHandler(CallServices &services, CallCoordinator &coordinator, const ServingGate &gate);
+
+    /** Handles a call. A known Hibiscus-Context header makes it a call below a running attempt. */
+    void handle(HttpRequest request, HttpResponder respond) override;
+
+    /** Handles a root call, whatever its headers say. */
+    void handleRoot(HttpRequest request, HttpResponder respond);
+
+    /** From now on root calls are refused; calls below running attempts go on. */
+    void drain();
+
+    /** Calls that have not been answered. */
+    int activeCalls() const;
+
+private:
+    Result<CallRequest> baseCall(const HttpRequest &request, const Configuration &configuration) const;
+    void handleChild(AttemptId context, HttpRequest request, HttpResponder respond);
+
+    CallServices &services_;
+    CallCoordinator &coordinator_;
+    const ServingGate &gate_;
+    std::atomic<bool> draining_{false};
+    std::atomic<int> activeCalls_{0};
+};
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/src/daemon/callmessage.cpp
@@ -0,0 +1,193 @@
+#include "daemon/callmessage.h"
+
+#include "core/contenthash.h"
+#include "daemon/headernames.h"
+
+#include <array>
+#include <charconv>
+
+namespace Hibiscus
+{
+
+namespace
+{
+
+constexpr std::string_view kTargetPrefix = "/svc/";
+constexpr int kBuckets = 128;
+
+template<class Number>
+std::optional<Number> parseNumber(std::optional<std::string_view> text)
+{
+    Number value{};
+    if (!text) {
+        return std::nullopt;
+    }
+    const auto parsed = std::from_chars(text->data(), text->data() + text->size(), value);
+    if (parsed.ec != std::errc() || parsed.ptr != text->data() + text->size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+std::string formatMillis(Millis duration)
+{
+    std::array<char, 32> buffer{};
+    const auto written = std::to_chars(buffer.data(), buffer.data() + buffer.size(), duration.value,
+                                       std::chars_format::fixed, 3);
+    return {buffer.data(), written.ptr};
+}
+
+bool hasPrefix(std::string_view name)
+{
+    return name.size() >= HeaderName::kPrefix.size()
+        && sameHeaderName(name.substr(0, HeaderName::kPrefix.size()), HeaderName::kPrefix);
+}
+
+void setOptional(HttpHeaders &headers, std::string_view name, const std::optional<int> &value)
+{
+    if (value) {
+        headers.set(name, std::to_string(*value));
+    }
+}
+
+} // namespace
+
+std::optional<ServiceTarget> parseServiceTarget(const std::string &target)
+{
+    if (target.compare(0, kTargetPrefix.size(), kTargetPrefix) != 0) {
+        return std::nullopt;
+    }
+    const std::size_t end = target.find('/', kTargetPrefix.size());
+    const std::string name = target.substr(kTargetPrefix.size(), end - kTargetPrefix.size());
+    if (name.empty()) {
+        return std::nullopt;
+    }
+    return ServiceTarget{ServiceName(name), end == std::string::npos ? "/" : target.substr(end)};
+}
+
+HttpHeaders endToEndHeaders(const HttpHeaders &headers)
+{
+    HttpHeaders result;
+    for (const HttpHeaders::Field &field : headers.fields()) {
+        if (!isHopByHopHeader(field.first) && !hasPrefix(field.first)) {
+            result.add(field.first, field.second);
+        }
+    }
+    return result;
+}
+
+HttpRequest encodeCall(const CallMessage &message, const Clock &clock)
+{
+    const CallRequest &call = message.call;
+    HttpRequest request{call.method, std::string(kTargetPrefix) + call.service.value() + call.path, call.headers,
+                        call.body};
+    HttpHeaders &headers = request.headers;
+    if (message.purpose == CallPurpose::Coordinate) {
+        headers.set(HeaderName::kCoordinate, "1");
+    } else {
+        headers.set(HeaderName::kAttempt, std::to_string(message.attempt.value()));
+    }
+    headers.set(HeaderName::kClass, call.root.requestClass.value());
+    headers.set(HeaderName::kRank, std::to_string(call.root.rank));
+    headers.set(HeaderName::kBucket, std::to_string(call.root.bucket));
+    headers.set(HeaderName::kAllowance, std::to_string(call.allowance));
+    headers.set(HeaderName::kDeadline, formatMillis(call.deadline - clock.now()));
+    if (call.root.identity) {
+        headers.set(HeaderName::kRequestId, formatRequestIdentity(*call.root.identity));
+    }
+    if (!call.callPath.empty()) {
+        headers.set(HeaderName::kCallPath, call.callPath);
+    }
+    if (!call.repeatable) {
+        headers.set(HeaderName::kOnce, "1");
+    }
+    return request;
+}
+
+Result<CallMessage> decodeCall(HttpRequest request, const Clock &clock)
+{
+    const std::optional<ServiceTarget> target = parseServiceTarget(request.target);
+    const HttpHeaders &headers = request.headers;
+    const auto attempt = parseNumber<std::uint64_t>(headers.find(HeaderName::kAttempt));
+    const bool coordinate = headers.find(HeaderName::kCoordinate).has_value();
+    const auto rank = parseNumber<int>(headers.find(HeaderName::kRank));
+    const auto bucket = parseNumber<int>(headers.find(HeaderName::kBucket));
+    const auto allowance = parseNumber<int>(headers.find(HeaderName::kAllowance));
+    const auto deadline = parseNumber<double>(headers.find(HeaderName::kDeadline));
+    const auto requestClass = headers.find(HeaderName::kClass);
+    if (!target || (!attempt && !coordinate) || !rank || !bucket || !allowance || !deadline || !requestClass) {
+        return tl::unexpected(ErrorKind::BadRequest);
+    }
+    if (*bucket < 0 || *bucket >= kBuckets || *allowance < 0 || *rank < 0) {
+        return tl::unexpected(ErrorKind::BadRequest);
+    }
+
+    CallMessage message;
+    message.purpose = coordinate ? CallPurpose::Coordinate : CallPurpose::Execute;
+    message.attempt = AttemptId(attempt.value_or(0));
+    CallRequest &call = message.call;
+    if (const auto identity = headers.find(HeaderName::kRequestId)) {
+        call.root.identity = parseRequestIdentity(*identity);
+        if (!call.root.identity) {
+            return tl::unexpected(ErrorKind::BadRequest);
+        }
+    }
+    call.service = target->service;
+    call.method = std::move(request.method);
+    call.path = target->path;
+    call.root.requestClass = ClassName(std::string(*requestClass));
+    call.root.rank = *rank;
+    call.root.bucket = *bucket;
+    call.callPath = std::string(headers.find(HeaderName::kCallPath).value_or(""));
+    call.repeatable = !headers.find(HeaderName::kOnce).has_value();
+    call.deadline = clock.now() + Millis{*deadline};
+    call.allowance = *allowance;
+    call.headers = endToEndHeaders(headers);
+    call.body = std::move(request.body);
+    call.signature = requestSignature(call.service, call.method, call.path, call.body);
+    return message;
+}
+
+HttpResponse encodeAnswer(CallAnswer answer)
+{
+    HttpResponse response;
+    if (answer.response) {
+        response = std::move(*answer.response);
+        response.headers = endToEndHeaders(response.headers);
+    } else {
+        const ErrorAnswer &error = answerFor(answer.response.error());
+        response.status = error.httpStatus;
+        response.headers.add("Content-Type", "text/plain");
+        response.headers.set(HeaderName::kError, std::string(error.name));
+        response.body = std::string(outcomeName(error.outcome)) + ": " + std::string(error.name) + "\n";
+    }
+    const Outcome outcome = answer.response ? Outcome::Completed : answerFor(answer.response.error()).outcome;
+    response.headers.set(HeaderName::kOutcome, std::string(outcomeName(outcome)));
+    setOptional(response.headers, HeaderName::kSpent, answer.spent);
+    setOptional(response.headers, HeaderName::kLevel, answer.level);
+    setOptional(response.headers, HeaderName::kSubtreeLevel, answer.subtreeLevel);
+    setOptional(response.headers, HeaderName::kHeadroom, answer.headroom);
+    return response;
+}
+
+CallAnswer decodeAnswer(HttpResponse response)
+{
+    CallAnswer answer;
+    answer.spent = parseNumber<int>(response.headers.find(HeaderName::kSpent));
+    answer.level = parseNumber<int>(response.headers.find(HeaderName::kLevel));
+    answer.subtreeLevel = parseNumber<int>(response.headers.find(HeaderName::kSubtreeLevel));
+    answer.headroom = parseNumber<int>(response.headers.find(HeaderName::kHeadroom));
+    const auto outcome = outcomeFromName(response.headers.find(HeaderName::kOutcome).value_or(""));
+    if (outcome == Outcome::Completed) {
+        response.headers = endToEndHeaders(response.headers);
+        answer.response = std::move(response);
+        return answer;
+    }
+    const auto kind = errorKindFromName(response.headers.find(HeaderName::kError).value_or(""));
+    if (kind && outcome == answerFor(*kind).outcome) {
+        answer.response = tl::unexpected(*kind);
+    }
+    return answer;
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/src/daemon/callmessage.h
@@ -0,0 +1,46 @@
+#ifndef HIBISCUS_DAEMON_CALLMESSAGE_H
+#define HIBISCUS_DAEMON_CALLMESSAGE_H
+
+#include "core/clock.h"
+#include "daemon/callrequest.h"
+
+#include <optional>
+
+namespace Hibiscus
+{
+
+/** What a message on the peers listener asks for. */
+enum class CallPurpose {
+    Execute, ///< Run the attempt on the local backend server.
+    Coordinate, ///< Act as the arbiter of the request's identity and see the call through.
+};
+
+struct CallMessage {
+    CallPurpose purpose = CallPurpose::Execute;
+    AttemptId attempt;
+    CallRequest call;
+};
+
+/** Service and path of a target of the form /svc/<service>/<path>; empty if it has another form. */
+struct ServiceTarget {
+    ServiceName service;
+    std::string path;
+};
+std::optional<ServiceTarget> parseServiceTarget(const std::string &target);
+
+/** Headers of a caller's or backend server's message without those of hibiscusdale or of the connection. */
+HttpHeaders endToEndHeaders(const HttpHeaders &headers);
+
+/** Message between daemons for a call. The deadline travels as remaining time, so clocks need not agree. */
+HttpRequest encodeCall(const CallMessage &message, const Clock &clock);
+Result<CallMessage> decodeCall(HttpRequest request, const Clock &clock);
+
+/** Answer between daemons, and, without the hints, to callers. */
+HttpResponse encodeAnswer(CallAnswer answer);
+
+/** Reads a daemon's answer. An answer without a valid outcome counts as ErrorKind::Internal, outcome unknown. */
+CallAnswer decodeAnswer(HttpResponse response);
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/src/daemon/callscopetable.cpp
@@ -0,0 +1,79 @@
+#include "daemon/callscopetable.h"
+
+#include <algorithm>
+
+namespace Hibiscus
+{
+
+CallScopeTable::CallScopeTable(const Clock &clock)
+    : clock_(clock)
+{
+}
+
+void CallScopeTable::open(AttemptId attempt, CallScope scope)
+{
+    entries_.emplace(attempt, Entry{std::move(scope), {}, 0, {}, {}});
+}
+
+std::optional<ChildCall> CallScopeTable::beginChild(AttemptId attempt, const ChildKey &key, int learnedPeak)
+{
+    const auto found = entries_.find(attempt);
+    if (found == entries_.end()) {
+        return std::nullopt;
+    }
+    Entry &entry = found->second;
+    const std::string ordinal = key.isExplicit ? "" : "." + std::to_string(entry.completed[key.text]);
+    if (entry.outstanding++ == 0) {
+        entry.waitingSince = clock_.now();
+    }
+    const std::string separator = entry.scope.callPath.empty() ? "" : "/";
+    return ChildCall{entry.scope.root, entry.scope.callPath + separator + key.text + ordinal, entry.scope.deadline,
+                     entry.scope.allowance.grantChild(learnedPeak), key.text};
+}
+
+void CallScopeTable::endChild(AttemptId attempt, const ChildCall &child, const CallAnswer &answer, bool repeatable)
+{
+    const auto found = entries_.find(attempt);
+    if (found == entries_.end()) {
+        return;
+    }
+    Entry &entry = found->second;
+    entry.scope.allowance.settleChild(child.granted, answer.spent);
+    entry.summary.subtreeLevel =
+        std::max({entry.summary.subtreeLevel, answer.level.value_or(0), answer.subtreeLevel.value_or(0)});
+    if (answer.response) {
+        ++entry.completed[child.key];
+    }
+    if (!repeatable && answer.outcome() != Outcome::NotRun) {
+        entry.summary.nonRepeatableMayHaveRun = true;
+    }
+    if (--entry.outstanding == 0) {
+        entry.summary.waitingForChildren =
+            entry.summary.waitingForChildren + (clock_.now() - entry.waitingSince);
+    }
+}
+
+ScopeSummary CallScopeTable::close(AttemptId attempt)
+{
+    const auto found = entries_.find(attempt);
+    if (found == entries_.end()) {
+        return {};
+    }
+    Entry &entry = found->second;
+    ScopeSummary summary = entry.summary;
+    summary.spent = entry.scope.allowance.spent();
+    if (entry.outstanding > 0) {
+        summary.waitingForChildren = summary.waitingForChildren + (clock_.now() - entry.waitingSince);
+        // The outcome of the outstanding calls is not known here.
+        summary.nonRepeatableMayHaveRun = true;
+    }
+    entries_.erase(found);
+    return summary;
+}
+
+std::size_t CallScopeTable::size() const
+{
+    return entries_.size();
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/src/daemon/callscopetable.h
@@ -0,0 +1,86 @@
+#ifndef HIBISCUS_DAEMON_CALLSCOPETABLE_H
+#define HIBISCUS_DAEMON_CALLSCOPETABLE_H
+
+#include "core/clock.h"
+#include "daemon/callrequest.h"
+#include "retry/attemptallowance.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace Hibiscus
+{
+
+/** What the calls below one running attempt inherit from it. */
+struct CallScope {
+    RootContext root; ///< With the identity under which calls below are arbitrated.
+    std::string callPath;
+    TimePoint deadline;
+    AttemptAllowance allowance{0};
+};
+
+/** One call below a running attempt. */
+struct ChildCall {
+    RootContext root;
+    std::string callPath;
+    TimePoint deadline;
+    int granted = 0;
+    std::string key; ///< As given to beginChild().
+};
+
+/** How a call names itself among the calls below one attempt. */
+struct ChildKey {
+    std::string text;
+    bool isExplicit = false; ///< Chosen by the backend server, which then repeats it only for a resend.
+};
+
+/** What an attempt's calls further down amounted to. */
+struct ScopeSummary {
+    int spent = 0; ///< Attempts below the attempt.
+    Millis waitingForChildren; ///< Time during which at least one call was outstanding.
+    int subtreeLevel = 0;
+    bool nonRepeatableMayHaveRun = false;
+};
+
+/** The attempts that run on the local backend server, by the id in their Hibiscus-Context header. */
+class CallScopeTable
+{
+public:
+    /** @p clock must outlive the table. */
+    explicit CallScopeTable(const Clock &clock);
+
+    void open(AttemptId attempt, CallScope scope);
+
+    /**
+     * Starts a call below @p attempt. A derived key that is used again after a complete response names a new call, and
+     * otherwise a resend of the same one. So the same sequence of calls gets the same names when the attempt is
+     * retried. @p learnedPeak is as for AttemptAllowance::grantChild(). Empty if the attempt has ended or is unknown.
+     */
+    std::optional<ChildCall> beginChild(AttemptId attempt, const ChildKey &key, int learnedPeak);
+
+    /** Ends a call that beginChild() started. */
+    void endChild(AttemptId attempt, const ChildCall &child, const CallAnswer &answer, bool repeatable);
+
+    /** Forgets the attempt; calls that are still outstanding find it gone. */
+    ScopeSummary close(AttemptId attempt);
+
+    std::size_t size() const;
+
+private:
+    struct Entry {
+        CallScope scope;
+        std::map<std::string, int> completed; ///< Complete responses by key.
+        int outstanding = 0;
+        TimePoint waitingSince;
+        ScopeSummary summary;
+    };
+
+    const Clock &clock_;
+    std::unordered_map<AttemptId, Entry> entries_;
+};
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/src/daemon/peershandler.cpp
@@ -0,0 +1,116 @@
+#include "daemon/peershandler.h"
+
+#include "daemon/headernames.h"
+
+#include <charconv>
+
+namespace Hibiscus
+{
+
+namespace
+{
+
+constexpr std::string_view kAttemptsPrefix = "/attempts/";
+constexpr int kStatusOk = 200;
+constexpr int kStatusRunning = 202;
+
+std::optional<std::uint64_t> parseNumber(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+HttpResponse failure(ErrorKind kind)
+{
+    CallAnswer answer;
+    answer.response = tl::unexpected(kind);
+    return encodeAnswer(std::move(answer));
+}
+
+HttpResponse encodeReport(const OutcomeReport &report)
+{
+    switch (report.outcome) {
+    case AttemptOutcome::Running:
+        return {kStatusRunning, {}, ""};
+    case AttemptOutcome::Completed: {
+        HttpResponse stored{report.answer->status, {}, report.answer->body};
+        for (const auto &[name, value] : report.answer->headers) {
+            stored.headers.add(name, value);
+        }
+        CallAnswer answer;
+        answer.response = std::move(stored);
+        return encodeAnswer(std::move(answer));
+    }
+    case AttemptOutcome::NotRun:
+        return failure(ErrorKind::Unreachable);
+    case AttemptOutcome::CompletedNotKept:
+    case AttemptOutcome::Unknown:
+        break;
+    }
+    return failure(ErrorKind::ConnectionLost);
+}
+
+} // namespace
+
+PeersHandler::PeersHandler(CallServices &services, CallCoordinator &coordinator, ControlFunction control)
+    : services_(services)
+    , coordinator_(coordinator)
+    , control_(std::move(control))
+{
+}
+
+void PeersHandler::handle(HttpRequest request, HttpResponder respond)
+{
+    if (request.target == "/control") {
+        control_(std::move(request.body), [respond = std::move(respond)](std::string body) {
+            HttpResponse response{kStatusOk, {}, std::move(body)};
+            response.headers.add("Content-Type", "application/json");
+            respond(std::move(response));
+        });
+        return;
+    }
+    if (request.target.compare(0, kAttemptsPrefix.size(), kAttemptsPrefix) == 0) {
+        respond(queryOutcome(request));
+        return;
+    }
+    handleCall(std::move(request), std::move(respond));
+}
+
+void PeersHandler::handleCall(HttpRequest request, HttpResponder respond)
+{
+    Result<CallMessage> message = decodeCall(std::move(request), services_.clock);
+    if (!message) {
+        respond(failure(message.error()));
+        return;
+    }
+    if (message->purpose == CallPurpose::Coordinate) {
+        coordinator_.run(std::move(message->call), [respond = std::move(respond)](CallAnswer answer) {
+            respond(encodeAnswer(std::move(answer)));
+        });
+        return;
+    }
+    const std::string attempt = std::to_string(message->attempt.value());
+    services_.gateway.execute(std::move(*message), [respond = std::move(respond), attempt](CallAnswer answer) {
+        HttpResponse response = encodeAnswer(std::move(answer));
+        response.headers.set(HeaderName::kAttempt, attempt);
+        respond(std::move(response));
+    });
+}
+
+HttpResponse PeersHandler::queryOutcome(const HttpRequest &request)
+{
+    const auto attempt = parseNumber(std::string_view(request.target).substr(kAttemptsPrefix.size()));
+    const auto incarnation = parseNumber(request.headers.find(HeaderName::kIncarnation).value_or(""));
+    if (!attempt || !incarnation) {
+        return failure(ErrorKind::BadRequest);
+    }
+    return encodeReport(services_.tables.attempts.with([&](AttemptTable &attempts) {
+        return attempts.query(AttemptId(*attempt), Incarnation(*incarnation));
+    }));
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/src/daemon/routingtable.cpp
@@ -0,0 +1,117 @@
+#include "daemon/routingtable.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Hibiscus
+{
+
+namespace
+{
+
+/** Given while nothing is known, so that a new chain is limited by what is left and not by a guess. */
+constexpr int kUnknownPeak = 1000;
+/** Share of the peak that remains after each call; a peak is forgotten over some hundred calls. */
+constexpr double kPeakDecay = 0.995;
+
+} // namespace
+
+RoutingTable::RoutingTable(BalancerSettings settings, const Clock &clock, RandomSource &random)
+    : settings_(std::move(settings))
+    , clock_(clock)
+    , random_(random)
+    , subtreeLevels_(clock)
+{
+}
+
+RoutingTable::Entry &RoutingTable::entry(const ServiceName &service)
+{
+    Entry &found = entries_[service];
+    if (!found.balancer) {
+        found.balancer = std::make_unique<Balancer>(settings_, clock_, random_);
+    }
+    return found;
+}
+
+void RoutingTable::update(const Services &services)
+{
+    for (const auto &[service, servers] : services) {
+        entry(service).balancer->update(servers);
+    }
+    for (auto &[service, known] : entries_) {
+        if (services.count(service) == 0) {
+            known.balancer->update({});
+        }
+    }
+}
+
+Result<ServerView> RoutingTable::pick(const ServiceName &service, Level level, const std::vector<ServerName> &exclude)
+{
+    Balancer &balancer = *entry(service).balancer;
+    const Result<ServerName> name = balancer.pick(level, exclude);
+    if (!name) {
+        return tl::unexpected(name.error());
+    }
+    const ServerView *view = balancer.find(*name);
+    if (view == nullptr) {
+        return tl::unexpected(ErrorKind::NoServer);
+    }
+    balancer.started(*name);
+    return *view;
+}
+
+void RoutingTable::finished(const ServiceName &service, const ServerName &server, const AnswerHint &hint)
+{
+    entry(service).balancer->finished(server, hint);
+}
+
+void RoutingTable::connectFailed(const ServiceName &service, const ServerName &server)
+{
+    entry(service).balancer->connectFailed(server);
+}
+
+std::string RoutingTable::subtreeKey(const ServiceName &service, const ClassName &requestClass)
+{
+    return service.value() + "/" + requestClass.value();
+}
+
+bool RoutingTable::subtreeAdmits(const ServiceName &service, const ClassName &requestClass, Level level) const
+{
+    return subtreeLevels_.admits(ServiceName(subtreeKey(service, requestClass)), level);
+}
+
+void RoutingTable::reportSubtree(const ServiceName &service, const ClassName &requestClass, Level level)
+{
+    subtreeLevels_.report(ServiceName(subtreeKey(service, requestClass)), level);
+}
+
+int RoutingTable::learnedPeak(const ServiceName &service) const
+{
+    const auto found = entries_.find(service);
+    if (found == entries_.end() || found->second.peak == 0) {
+        return kUnknownPeak;
+    }
+    return static_cast<int>(std::ceil(found->second.peak));
+}
+
+void RoutingTable::recordSpent(const ServiceName &service, int spent)
+{
+    Entry &known = entry(service);
+    known.peak = std::max(known.peak * kPeakDecay, static_cast<double>(spent));
+}
+
+RetryBudget &RoutingTable::retryBudget(const ServiceName &service)
+{
+    return entry(service).retryBudget;
+}
+
+std::map<ServiceName, std::size_t> RoutingTable::serverCounts() const
+{
+    std::map<ServiceName, std::size_t> counts;
+    for (const auto &[service, known] : entries_) {
+        counts[service] = known.balancer->subset().size();
+    }
+    return counts;
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/src/daemon/routingtable.h
@@ -0,0 +1,67 @@
+#ifndef HIBISCUS_DAEMON_ROUTINGTABLE_H
+#define HIBISCUS_DAEMON_ROUTINGTABLE_H
+
+#include "core/clock.h"
+#include "core/randomsource.h"
+#include "retry/retrybudget.h"
+#include "routing/balancer.h"
+#include "routing/levelmap.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Hibiscus
+{
+
+/** Servers to which one attempt can go, and what this daemon has learned about each service. */
+class RoutingTable
+{
+public:
+    using Services = std::map<ServiceName, std::vector<ServerView>>;
+
+    /** @p clock and @p random must outlive the table. */
+    RoutingTable(BalancerSettings settings, const Clock &clock, RandomSource &random);
+
+    /** Takes over the servers of all services from the membership views. */
+    void update(const Services &services);
+
+    /** Chooses a server and counts an attempt as started there. Errors as Balancer::pick(). */
+    Result<ServerView> pick(const ServiceName &service, Level level, const std::vector<ServerName> &exclude);
+    void finished(const ServiceName &service, const ServerName &server, const AnswerHint &hint);
+    void connectFailed(const ServiceName &service, const ServerName &server);
+
+    /** Whether the calls below a call of this class to @p service would be admitted, as far as is known. */
+    bool subtreeAdmits(const ServiceName &service, const ClassName &requestClass, Level level) const;
+    void reportSubtree(const ServiceName &service, const ClassName &requestClass, Level level);
+
+    /** Largest number of attempts that calls to @p service used recently; a large number if there was none yet. */
+    int learnedPeak(const ServiceName &service) const;
+    void recordSpent(const ServiceName &service, int spent);
+
+    RetryBudget &retryBudget(const ServiceName &service);
+
+    /** Number of servers known for each service. */
+    std::map<ServiceName, std::size_t> serverCounts() const;
+
+private:
+    struct Entry {
+        std::unique_ptr<Balancer> balancer;
+        RetryBudget retryBudget;
+        double peak = 0; ///< Decays with each call; 0 if none was recorded.
+    };
+
+    Entry &entry(const ServiceName &service);
+    static std::string subtreeKey(const ServiceName &service, const ClassName &requestClass);
+
+    BalancerSettings settings_;
+    const Clock &clock_;
+    RandomSource &random_;
+    std::map<ServiceName, Entry> entries_;
+    LevelMap<ServiceName> subtreeLevels_;
+};
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/src/daemon/servergateway.cpp
@@ -0,0 +1,304 @@
+#include "daemon/servergateway.h"
+
+#include "daemon/headernames.h"
+
+#include <array>
+#include <charconv>
+
+namespace Hibiscus
+{
+
+namespace
+{
+
+/**
+ * A non-repeatable attempt is awaited this much longer than its deadline, so that a resend of its caller can be given
+ * the answer instead of an unknown outcome.
+ */
+constexpr Millis kNonRepeatableGrace{10000};
+
+TicketId ticketOf(AttemptId attempt)
+{
+    return TicketId(attempt.value());
+}
+
+StoredAnswer toStored(const HttpResponse &response)
+{
+    return {response.status, response.headers.fields(), response.body};
+}
+
+std::string contextOf(AttemptId attempt)
+{
+    std::array<char, 16> buffer{};
+    const auto written = std::to_chars(buffer.data(), buffer.data() + buffer.size(), attempt.value(), 16);
+    return {buffer.data(), written.ptr};
+}
+
+} // namespace
+
+ServerGateway::ServerGateway(const DaemonIdentity &self, SharedTables &tables, HttpClient &client,
+                             ServerHealth &health, const ServingGate &gate, const Clock &clock)
+    : self_(self)
+    , tables_(tables)
+    , client_(client)
+    , health_(health)
+    , gate_(gate)
+    , clock_(clock)
+{
+}
+
+void ServerGateway::execute(CallMessage message, CallCallback callback)
+{
+    const auto pending = std::make_shared<Pending>(Pending{std::move(message), std::move(callback), {}, false});
+    const CallRequest &call = pending->message.call;
+    const AttemptId attempt = pending->message.attempt;
+    if (!enter(pending)) {
+        return;
+    }
+    {
+        const std::lock_guard lock(mutex_);
+        pending_[attempt] = pending;
+    }
+    const Millis expected = tables_.ownTime.with([&](const LatencyTracker &tracker) {
+        return tracker.quantile(ServiceName(call.root.requestClass.value()), 0.5);
+    });
+    const Ticket ticket{ticketOf(attempt), call.root.rank, call.root.bucket, clock_.now(), call.deadline, expected};
+    const Decision decision =
+        tables_.admission.with([&](AdmissionController &admission) { return admission.arrive(ticket); });
+    switch (decision.kind) {
+    case Decision::Kind::RunNow:
+        takePending(attempt);
+        dispatch(pending);
+        return;
+    case Decision::Kind::Queued:
+        return;
+    case Decision::Kind::Refused:
+        takePending(attempt);
+        reject(pending, decision.error);
+        return;
+    }
+}
+
+bool ServerGateway::enter(const PendingPtr &pending)
+{
+    const CallMessage &message = pending->message;
+    const BeginResult begun = tables_.attempts.with(
+        [&](AttemptTable &attempts) { return attempts.begin(message.attempt, !message.call.repeatable); });
+    if (begun != BeginResult::Begun) {
+        const bool duplicate = begun == BeginResult::AlreadyBegun;
+        CallAnswer answer;
+        answer.response = tl::unexpected(duplicate ? ErrorKind::InProgress : ErrorKind::Overloaded);
+        finish(pending, std::move(answer));
+        return false;
+    }
+    if (!gate_.mayServe()) {
+        reject(pending, ErrorKind::RulesNotFresh);
+        return false;
+    }
+    const Verdict verdict =
+        tables_.crashes.with([&](const CrashLedger &crashes) { return crashes.check(message.call.signature); });
+    if (verdict == Verdict::Quarantined) {
+        reject(pending, ErrorKind::Quarantined);
+        return false;
+    }
+    if (verdict == Verdict::Suspect) {
+        const bool taken =
+            tables_.suspects.with([&](SuspectSlot &slot) { return slot.tryTake(message.attempt); });
+        if (!taken) {
+            reject(pending, ErrorKind::Overloaded);
+            return false;
+        }
+        pending->isSuspect = true;
+    }
+    return true;
+}
+
+void ServerGateway::tick()
+{
+    handleDispatch(tables_.admission.with([](AdmissionController &admission) { return admission.tick(); }));
+}
+
+void ServerGateway::setServerHealthy(bool healthy)
+{
+    handleDispatch(tables_.admission.with([healthy](AdmissionController &admission) {
+        if (healthy) {
+            admission.serverStarted();
+        }
+        return admission.setServerHealthy(healthy);
+    }));
+}
+
+std::size_t ServerGateway::inFlight() const
+{
+    const std::lock_guard lock(mutex_);
+    return pending_.size() + health_.runningCount();
+}
+
+void ServerGateway::handleDispatch(const Dispatch &dispatched)
+{
+    for (const RefusedTicket &refused : dispatched.refused) {
+        if (const PendingPtr pending = takePending(AttemptId(refused.ticket.id.value()))) {
+            reject(pending, refused.error);
+        }
+    }
+    for (const Ticket &ticket : dispatched.started) {
+        if (const PendingPtr pending = takePending(AttemptId(ticket.id.value()))) {
+            dispatch(pending);
+        }
+    }
+}
+
+ServerGateway::PendingPtr ServerGateway::takePending(AttemptId attempt)
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = pending_.find(attempt);
+    if (found == pending_.end()) {
+        return nullptr;
+    }
+    PendingPtr pending = std::move(found->second);
+    pending_.erase(found);
+    return pending;
+}
+
+void ServerGateway::dispatch(const PendingPtr &pending)
+{
+    const CallRequest &call = pending->message.call;
+    const AttemptId attempt = pending->message.attempt;
+    pending->started = clock_.now();
+    // The process may have been stopped while the attempt was queued, so the lease is checked once more.
+    if (!gate_.mayServe()) {
+        health_.notRun(attempt);
+        ServiceSample sample;
+        sample.failed = true;
+        reject(pending, ErrorKind::RulesNotFresh);
+        handleDispatch(tables_.admission.with(
+            [&](AdmissionController &admission) { return admission.finished(ticketOf(attempt), sample); }));
+        return;
+    }
+    CallScope scope{call.root, call.callPath, call.deadline, AttemptAllowance(call.allowance)};
+    if (!call.repeatable) {
+        // The execution happens at most once, so the calls below it can be arbitrated here, without a message.
+        scope.root.identity = tables_.arbiter.with([](Arbiter &arbiter) { return arbiter.issue(); });
+        scope.callPath.clear();
+    }
+    tables_.scopes.with([&](CallScopeTable &scopes) { scopes.open(attempt, std::move(scope)); });
+    health_.started(attempt, call.signature);
+
+    HttpCallOptions options;
+    options.freshConnection = !call.repeatable;
+    options.answerTimeout =
+        (call.deadline - clock_.now()) + (call.repeatable ? Millis{0} : kNonRepeatableGrace);
+    client_.send(self_.backend, backendRequest(pending->message), options,
+                 [this, pending](HttpResult result) { onResult(pending, std::move(result)); });
+}
+
+HttpRequest ServerGateway::backendRequest(const CallMessage &message) const
+{
+    const CallRequest &call = message.call;
+    HttpRequest request{call.method, call.path, call.headers, call.body};
+    request.headers.set(HeaderName::kContext, contextOf(message.attempt));
+    const double remaining = (call.deadline - clock_.now()).value;
+    request.headers.set(HeaderName::kDeadline, std::to_string(static_cast<long>(remaining)));
+    return request;
+}
+
+void ServerGateway::onResult(const PendingPtr &pending, HttpResult result)
+{
+    const CallRequest &call = pending->message.call;
+    const AttemptId attempt = pending->message.attempt;
+    const ScopeSummary summary =
+        tables_.scopes.with([&](CallScopeTable &scopes) { return scopes.close(attempt); });
+    ServiceSample sample;
+    sample.total = clock_.now() - pending->started;
+    sample.waitingForChildren = summary.waitingForChildren;
+    sample.failed = !result.has_value();
+    sample.serverShed = result && result->headers.find(HeaderName::kNotRun).has_value();
+    health_.ended(attempt, result ? std::nullopt : std::optional(result.error()));
+    if (result && !sample.serverShed) {
+        tables_.crashes.with([&](CrashLedger &crashes) { return crashes.completed(call.signature); });
+        tables_.ownTime.with([&](LatencyTracker &tracker) {
+            tracker.record(ServiceName(call.root.requestClass.value()), sample.ownTime());
+        });
+        tables_.metrics.recordExecution(sample.ownTime());
+    }
+
+    CallAnswer answer = conclude(pending, std::move(result), summary);
+    const Dispatch next = tables_.admission.with(
+        [&](AdmissionController &admission) { return admission.finished(ticketOf(attempt), sample); });
+    settle(pending->message, answer);
+    finish(pending, std::move(answer));
+    handleDispatch(next);
+}
+
+CallAnswer ServerGateway::conclude(const PendingPtr &pending, HttpResult result, const ScopeSummary &summary)
+{
+    CallAnswer answer;
+    answer.spent = summary.spent;
+    answer.subtreeLevel = summary.subtreeLevel;
+    if (!result) {
+        answer.response = tl::unexpected(failureOf(result.error(), pending->message.call));
+        return answer;
+    }
+    if (result->headers.find(HeaderName::kNotRun)) {
+        // The server's word covers itself, but not the calls that it made before it gave up.
+        answer.response =
+            tl::unexpected(summary.nonRepeatableMayHaveRun ? ErrorKind::Internal : ErrorKind::ServerRefused);
+        return answer;
+    }
+    result->headers = endToEndHeaders(result->headers);
+    answer.response = std::move(*result);
+    return answer;
+}
+
+ErrorKind ServerGateway::failureOf(TransportError error, const CallRequest &call) const
+{
+    switch (error) {
+    case TransportError::ConnectFailed:
+    case TransportError::NotWritten:
+        return ErrorKind::Unreachable;
+    case TransportError::TimedOut:
+        return ErrorKind::DeadlineExceeded;
+    case TransportError::LostAfterWrite:
+    case TransportError::MalformedAnswer:
+        break;
+    }
+    return clock_.now() >= call.deadline ? ErrorKind::DeadlineExceeded : ErrorKind::ServerCrashed;
+}
+
+void ServerGateway::reject(const PendingPtr &pending, ErrorKind kind)
+{
+    CallAnswer answer;
+    answer.response = tl::unexpected(kind);
+    answer.spent = 0;
+    settle(pending->message, answer);
+    finish(pending, std::move(answer));
+}
+
+void ServerGateway::settle(const CallMessage &message, const CallAnswer &answer)
+{
+    tables_.attempts.with([&](AttemptTable &attempts) {
+        switch (answer.outcome()) {
+        case Outcome::Completed:
+            return attempts.complete(message.attempt, toStored(*answer.response));
+        case Outcome::NotRun:
+            return attempts.markNotRun(message.attempt);
+        case Outcome::Unknown:
+            break;
+        }
+        return attempts.markUnknown(message.attempt);
+    });
+}
+
+void ServerGateway::finish(const PendingPtr &pending, CallAnswer answer)
+{
+    if (pending->isSuspect) {
+        tables_.suspects.with([&](SuspectSlot &slot) { slot.release(pending->message.attempt); });
+    }
+    tables_.admission.with([&answer](const AdmissionController &admission) {
+        answer.level = admission.level().value;
+        answer.headroom = admission.headroom();
+    });
+    pending->callback(std::move(answer));
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/src/daemon/serverhealth.cpp
@@ -0,0 +1,197 @@
+#include "daemon/serverhealth.h"
+
+#include "core/logevent.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Hibiscus
+{
+
+namespace
+{
+
+constexpr Millis kProbeTimeout{1000};
+/** Connections of one crash break within this time of each other. */
+constexpr Millis kLossWindow{1000};
+
+/** Field "start" of a health answer; empty if there is none. */
+std::string startMarkOf(const HttpResponse &response)
+{
+    const nlohmann::json health = nlohmann::json::parse(response.body, nullptr, false);
+    if (!health.is_object() || !health.contains("start")) {
+        return {};
+    }
+    return health["start"].dump();
+}
+
+} // namespace
+
+ServerHealth::ServerHealth(const DaemonIdentity &self, std::string healthPath, HttpClient &client, const Clock &clock)
+    : self_(self)
+    , healthPath_(std::move(healthPath))
+    , client_(client)
+    , clock_(clock)
+{
+}
+
+void ServerHealth::setCallbacks(HealthChanged healthChanged, Crashed crashed)
+{
+    healthChanged_ = std::move(healthChanged);
+    crashed_ = std::move(crashed);
+}
+
+void ServerHealth::started(AttemptId attempt, Signature signature)
+{
+    const std::lock_guard lock(mutex_);
+    running_[attempt] = signature;
+}
+
+void ServerHealth::notRun(AttemptId attempt)
+{
+    const std::lock_guard lock(mutex_);
+    running_.erase(attempt);
+}
+
+void ServerHealth::ended(AttemptId attempt, std::optional<TransportError> error)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = running_.find(attempt);
+        if (found == running_.end()) {
+            return;
+        }
+        const bool lost = error == TransportError::LostAfterWrite || error == TransportError::MalformedAnswer;
+        if (lost) {
+            lost_.push_back({found->second, clock_.now()});
+        }
+        running_.erase(found);
+        if (!lost && error != TransportError::ConnectFailed) {
+            return;
+        }
+    }
+    probe();
+}
+
+void ServerHealth::tick()
+{
+    bool needed = false;
+    {
+        const std::lock_guard lock(mutex_);
+        needed = !healthy_ || startMark_.empty();
+        while (!lost_.empty() && clock_.now() - lost_.front().at > kLossWindow) {
+            lost_.pop_front();
+        }
+    }
+    if (needed) {
+        probe();
+    }
+}
+
+void ServerHealth::probe()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (probing_) {
+            return;
+        }
+        probing_ = true;
+    }
+    HttpCallOptions options;
+    options.connectTimeout = kProbeTimeout;
+    options.answerTimeout = kProbeTimeout;
+    options.freshConnection = true;
+    client_.send(self_.backend, {"GET", healthPath_, {}, ""}, options,
+                 [this](const HttpResult &result) { onProbe(result); });
+}
+
+void ServerHealth::onProbe(const HttpResult &result)
+{
+    if (!result && result.error() == TransportError::ConnectFailed) {
+        reportDown();
+        return;
+    }
+    bool restarted = false;
+    {
+        const std::lock_guard lock(mutex_);
+        probing_ = false;
+        if (!result) {
+            // It accepts connections but does not answer its health check, which lags or misleads anyway.
+            return;
+        }
+        const std::string mark = startMarkOf(*result);
+        restarted = !startMark_.empty() && mark != startMark_;
+        startMark_ = mark.empty() ? "unknown" : mark;
+    }
+    reportUp(restarted);
+}
+
+std::vector<Signature> ServerHealth::takeInFlight()
+{
+    std::vector<Signature> signatures;
+    for (const auto &[attempt, signature] : running_) {
+        signatures.push_back(signature);
+    }
+    for (const Lost &lost : lost_) {
+        signatures.push_back(lost.signature);
+    }
+    lost_.clear();
+    return signatures;
+}
+
+void ServerHealth::reportDown()
+{
+    std::vector<Signature> inFlight;
+    bool changed = false;
+    {
+        const std::lock_guard lock(mutex_);
+        probing_ = false;
+        changed = healthy_;
+        healthy_ = false;
+        if (changed) {
+            inFlight = takeInFlight();
+        }
+    }
+    if (!changed) {
+        return;
+    }
+    logEvent(LogEvent::ServerUnhealthy, self_.server.value() + " refuses connections at " + self_.backend.value());
+    if (!inFlight.empty()) {
+        crashed_(std::move(inFlight));
+    }
+    healthChanged_(false);
+}
+
+void ServerHealth::reportUp(bool restarted)
+{
+    std::vector<Signature> inFlight;
+    bool changed = false;
+    {
+        const std::lock_guard lock(mutex_);
+        changed = !healthy_;
+        healthy_ = true;
+        if (restarted && !changed) {
+            inFlight = takeInFlight();
+        }
+    }
+    if (!inFlight.empty()) {
+        crashed_(std::move(inFlight));
+    }
+    if (changed || restarted) {
+        logEvent(LogEvent::ServerHealthy, self_.server.value() + " answers at " + self_.backend.value());
+        healthChanged_(true);
+    }
+}
+
+bool ServerHealth::healthy() const
+{
+    const std::lock_guard lock(mutex_);
+    return healthy_;
+}
+
+std::size_t ServerHealth::runningCount() const
+{
+    const std::lock_guard lock(mutex_);
+    return running_.size();
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/src/daemon/statuspage.cpp
@@ -0,0 +1,68 @@
+#include "daemon/statuspage.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Hibiscus
+{
+
+namespace
+{
+
+nlohmann::json controlSection(const ControlStatus &control)
+{
+    nlohmann::json members = nlohmann::json::array();
+    for (const MemberRecord &member : control.members) {
+        members.push_back({{"name", member.name.value()},
+                           {"domain", member.domain.value()},
+                           {"peers", member.peerAddress.value()},
+                           {"up", member.up},
+                           {"draining", member.draining}});
+    }
+    return {{"configuration", control.adopted.value()},
+            {"confirmed", control.confirmed.value()},
+            {"lease_remaining_ms", control.leaseRemaining.value},
+            {"agent", control.agent.value()},
+            {"is_agent", control.isAgent},
+            {"platform_available", control.platformAvailable},
+            {"members", members}};
+}
+
+nlohmann::json admissionSection(const AdmissionController &admission)
+{
+    return {{"limit", admission.limit()},
+            {"running", admission.running()},
+            {"queued", admission.queued()},
+            {"level", admission.level().value},
+            {"headroom", admission.headroom()}};
+}
+
+} // namespace
+
+std::string formatStatusPage(const StatusSources &sources)
+{
+    nlohmann::json page{{"server", sources.self.server.value()},
+                        {"domain", sources.self.domain.value()},
+                        {"incarnation", sources.self.incarnation.value()},
+                        {"draining", sources.draining},
+                        {"server_healthy", sources.serverHealthy},
+                        {"in_flight", sources.inFlight},
+                        {"control", controlSection(sources.control)}};
+    page["admission"] =
+        sources.tables.admission.with([](const AdmissionController &admission) { return admissionSection(admission); });
+    page["quarantined"] = nlohmann::json::array();
+    for (const Signature &signature :
+         sources.tables.crashes.with([](const CrashLedger &crashes) { return crashes.quarantined(); })) {
+        page["quarantined"].push_back(signature.value());
+    }
+    page["records"] = {
+        {"identities", sources.tables.arbiter.with([](const Arbiter &arbiter) { return arbiter.recordCount(); })},
+        {"attempts",
+         sources.tables.attempts.with([](const AttemptTable &attempts) { return attempts.recordCount(); })}};
+    for (const auto &[service, count] :
+         sources.routing.with([](const RoutingTable &routing) { return routing.serverCounts(); })) {
+        page["servers_in_use"][service.value()] = count;
+    }
+    return page.dump();
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/src/http/autotests/httpclienttest.cpp
@@ -0,0 +1,166 @@
+#include "http/httpclient.h"
+
+#include "http/endpoint.h"
+#include "http/httpserver.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <thread>
+
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
+
+using namespace Hibiscus;
+
+namespace
+{
+
+/** Server that reads one request on a raw socket, sends fixed bytes and closes. */
+class RawServer
+{
+public:
+    explicit RawServer(std::string answer, bool silent = false)
+        : answer_(std::move(answer))
+        , acceptor_(context_, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+        , thread_([this, silent] { serve(silent); })
+    {
+    }
+
+    ~RawServer()
+    {
+        released_ = true;
+        thread_.join();
+    }
+
+    HostAddress address() const
+    {
+        return formatEndpoint(acceptor_.local_endpoint());
+    }
+
+private:
+    void serve(bool silent)
+    {
+        asio::ip::tcp::socket socket(context_);
+        acceptor_.accept(socket);
+        std::string request;
+        asio::error_code error;
+        asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", error);
+        asio::write(socket, asio::buffer(answer_), error);
+        while (silent && !released_) {
+            std::this_thread::yield();
+        }
+    }
+
+    std::string answer_;
+    std::atomic<bool> released_{false};
+    asio::io_context context_;
+    asio::ip::tcp::acceptor acceptor_;
+    std::thread thread_;
+};
+
+HttpResult sendOnce(const HostAddress &address, HttpCallOptions options = {})
+{
+    asio::io_context context;
+    HttpClient client(context);
+    HttpResult result = tl::unexpected(TransportError::ConnectFailed);
+    client.send(address, {"GET", "/", {}, ""}, options, [&result](HttpResult answer) { result = std::move(answer); });
+    context.run();
+    return result;
+}
+
+/** Answers with the method, the target and the body of the request. */
+class EchoHandler : public HttpHandler
+{
+public:
+    void handle(HttpRequest request, HttpResponder respond) override
+    {
+        HttpResponse response;
+        response.status = 207;
+        response.body = request.method + " " + request.target + " " + request.body;
+        response.headers.add("X-Tag", std::string(request.headers.find("x-tag").value_or("none")));
+        respond(std::move(response));
+    }
+};
+
+} // namespace
+
+TEST_CASE("HttpClient: faults of a connection")
+{
+    // Guards against a fault after the write that is reported as if nothing had been sent.
+    struct FaultCase {
+        const char *name;
+        std::string answer;
+        bool silent;
+        TransportError expected;
+    };
+    const FaultCase cases[] = {
+        {"closed without an answer", "", false, TransportError::LostAfterWrite},
+        {"truncated body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", false, TransportError::MalformedAnswer},
+        {"not HTTP", "nonsense\r\n\r\n", false, TransportError::MalformedAnswer},
+        {"silent", "", true, TransportError::TimedOut},
+    };
+    for (const FaultCase &testCase : cases) {
+        CAPTURE(testCase.name);
+        const RawServer server(testCase.answer, testCase.silent);
+        HttpCallOptions options;
+        options.answerTimeout = testCase.silent ? Millis{50} : Millis{60000};
+        const HttpResult result = sendOnce(server.address(), options);
+        REQUIRE_FALSE(result.has_value());
+        CHECK(result.error() == testCase.expected);
+    }
+}
+
+TEST_CASE("HttpClient: nothing was sent where no connection exists")
+{
+    asio::io_context context;
+    HostAddress closedAddress;
+    {
+        const asio::ip::tcp::acceptor acceptor(context,
+                                               asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        closedAddress = formatEndpoint(acceptor.local_endpoint());
+    }
+    for (const HostAddress &address : {closedAddress, HostAddress("no-address"), HostAddress("127.0.0.1:99999")}) {
+        const HttpResult result = sendOnce(address);
+        REQUIRE_FALSE(result.has_value());
+        CHECK(result.error() == TransportError::ConnectFailed);
+    }
+}
+
+TEST_CASE("HttpServer: each answer belongs to its request")
+{
+    // Guards against answers that are exchanged between concurrent requests or reused connections.
+    asio::io_context context;
+    EchoHandler handler;
+    HttpServer server(context, {HostAddress("127.0.0.1:0")}, handler);
+    auto work = asio::make_work_guard(context);
+    std::thread worker([&context] { context.run(); });
+    const auto address = server.open();
+    REQUIRE(address.has_value());
+
+    asio::io_context clientContext;
+    HttpClient client(clientContext);
+    int matched = 0;
+    constexpr int kRequests = 200;
+    for (int round = 0; round < 2; ++round) {
+        for (int i = 0; i < kRequests; ++i) {
+            const std::string body(static_cast<std::size_t>(i) * 10, 'b');
+            HttpRequest request{"POST", "/" + std::to_string(i), {}, body};
+            request.headers.add("X-Tag", std::to_string(i));
+            client.send(*address, request, {}, [&matched, i, body](const HttpResult &result) {
+                const bool whole = result && result->status == 207
+                    && result->body == "POST /" + std::to_string(i) + " " + body
+                    && result->headers.find("X-Tag") == std::to_string(i);
+                matched += whole ? 1 : 0;
+            });
+        }
+        clientContext.run();
+        clientContext.restart();
+    }
+    CHECK(matched == 2 * kRequests);
+    CHECK(client.idleConnections() > 0);
+    server.close();
+    work.reset();
+    context.stop();
+    worker.join();
+}
--- a/src/retry/attemptallowance.cpp
+++ b/src/retry/attemptallowance.cpp
@@ -11,6 +11,9 @@
 // Room for attempts beyond the learned peak; also what a call without any history is granted.
 constexpr int kSpareAttempts = 4;
 constexpr int kPeakFactor = 2;
+// Attempts that are kept back for retries of a call while one attempt of it runs.
+constexpr int kRetryReserve = 2;
+constexpr int kSmallAllowance = 8;
 
 } // namespace
 
@@ -33,10 +36,20 @@
 {
     // The peak is clamped, as it comes from other processes and must not overflow.
     const int wanted = kPeakFactor * std::clamp(learnedPeak, 0, total_) + kSpareAttempts;
-    const int granted = std::min(std::max(std::min(left_ * 3 / 4, wanted), 1), left_);
-    left_ -= granted;
-    outstanding_ += granted;
-    return granted;
+    return grant(std::min(std::max(std::min(left_ * 7 / 8, wanted), 1), left_));
+}
+
+int AttemptAllowance::grantSubtree()
+{
+    const int reserve = left_ >= kSmallAllowance ? kRetryReserve : left_ / 3;
+    return grant(left_ - reserve);
+}
+
+int AttemptAllowance::grant(int attempts)
+{
+    left_ -= attempts;
+    outstanding_ += attempts;
+    return attempts;
 }
 
 void AttemptAllowance::settleChild(int granted, std::optional<int> spent)
--- a/src/retry/attemptallowance.h
+++ b/src/retry/attemptallowance.h
@@ -22,11 +22,14 @@
     bool takeOne();
 
     /**
-     * Moves attempts to a child call: min(3/4 of what is left, 2 * @p learnedPeak + 4), at least 1, or 0 if none is
+     * Moves attempts to a child call: min(7/8 of what is left, 2 * @p learnedPeak + 4), at least 1, or 0 if none is
      * left. @p learnedPeak is the largest number of attempts that such child calls used recently.
      */
     int grantChild(int learnedPeak);
 
+    /** Moves attempts to the calls below one attempt of this call, all but a small reserve for retries. */
+    int grantSubtree();
+
     /**
      * Ends a grant. With a complete response @p spent is what the child call used, and the rest is returned. Without
      * one it is empty and nothing is returned, as the child call may still be spending.
@@ -38,6 +41,8 @@
     int spent() const;
 
 private:
+    int grant(int attempts);
+
     int total_;
     int left_;
     int outstanding_ = 0;
