config: parse, check, classify and compare the three kinds of files

Cause: operators write inventory, rules and daemon settings by hand, and an accepted change takes effect at once, so a fault has to be found before. Ruled out: JSON objects with the same key twice, of which nlohmann-json keeps the last one silently (found with a parser callback); matching prefixes by characters, by which /holds would cover /holdslist; matching the path as sent, by which //holds would escape a rule; an explicit rank, which can be duplicate or have gaps (the order of the list is the rank). Before: headers only. After: all errors of a file in one run, each with place, value and what is allowed. The formats have no references between entries of one kind, so the only cycle is a daemon whose backend is one of its own listeners; it is rejected.

--- /dev/null
+++ b/src/config/autotests/configurationtest.cpp
@@ -0,0 +1,111 @@
+#include "config/configuration.h"
+
+#include "config/configurationdifference.h"
+#include "config/daemonsettingscheck.h"
+
+#include <fstream>
+#include <sstream>
+
+#include <doctest/doctest.h>
+
+using namespace Hibiscus;
+
+namespace
+{
+
+std::string readExample(const std::string &name)
+{
+    std::ifstream file(std::string(HIBISCUS_EXAMPLES) + "/" + name);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+Configuration exampleConfiguration(const std::string &deployment)
+{
+    Configuration configuration;
+    configuration.version = ConfigVersion(7);
+    auto inventory = parseInventory(readExample(deployment + "/inventory.json"), "inventory");
+    REQUIRE_MESSAGE(inventory.has_value(),
+                    formatConfigErrors(inventory.has_value() ? std::vector<ConfigError>() : inventory.error()));
+    configuration.inventory = *inventory;
+    auto rules = parseRules(readExample(deployment + "/rules.json"), "rules", *inventory);
+    REQUIRE_MESSAGE(rules.has_value(),
+                    formatConfigErrors(rules.has_value() ? std::vector<ConfigError>() : rules.error()));
+    configuration.rules = *rules;
+    configuration.audit = {{"c-1", "Aiko \"A\" M\xc3\xbcller", "line\nother \\ line", 1'764'800'000'000,
+                            ConfigVersion(6), ConfigVersion(7)}};
+    return configuration;
+}
+
+} // namespace
+
+TEST_CASE("examples: both deployments are valid, spread over their domains and come back from the object unchanged")
+{
+    // Guards against examples that rot, and against a daemon that reads other rules than the operator wrote.
+    for (const std::string deployment : {"kitami", "peachtree"}) {
+        const Configuration configuration = exampleConfiguration(deployment);
+        CHECK(parseConfiguration(serializeConfiguration(configuration)) == configuration);
+        CHECK(configuration.inventory.domains.size() == 3);
+        for (const FailureDomainEntry &domain : configuration.inventory.domains) {
+            CHECK(rosterOf(configuration.inventory, domain.name).size() >= 4);
+        }
+    }
+    const Configuration kitami = exampleConfiguration("kitami");
+    const RequestClass &deposit = classify(kitami.rules, ServiceName("deposit-desk"), "POST", "/deposits/17");
+    CHECK(deposit.rank == static_cast<int>(kitami.rules.classes.size()) - 1);
+    CHECK_FALSE(deposit.repeatable);
+    const Configuration peachtree = exampleConfiguration("peachtree");
+    CHECK(classify(peachtree.rules, ServiceName("adoptions"), "POST", "/holds").name.value() == "adoption-holds");
+    CHECK(classify(peachtree.rules, ServiceName("listings"), "GET", "/").rank == 0);
+}
+
+TEST_CASE("AuditEntry: text that is not UTF-8 doesn't stop a change, and fractions of deadlines are kept")
+{
+    // Guards against an exception in the middle of a write, and against a deadline that changes when it is stored.
+    Configuration configuration = exampleConfiguration("kitami");
+    configuration.audit[0].author = "Zo\xeb";
+    configuration.rules.classes[0].deadline = Millis{1234.567};
+    const auto stored = parseConfiguration(serializeConfiguration(configuration));
+    REQUIRE(stored.has_value());
+    CHECK(stored->rules == configuration.rules);
+    CHECK(parseAuditEntry(serializeAuditEntry(stored->audit[0]), "audit/7") == stored->audit[0]);
+}
+
+TEST_CASE("describeDifference: one line per change, with the values before and after")
+{
+    // Guards against a change that an operator doesn't see before applying it.
+    const Configuration before = exampleConfiguration("kitami");
+    CHECK(describeDifference(before.inventory, before.rules, before.inventory, before.rules).empty());
+    Configuration after = before;
+    after.inventory.servers[0].slots = 150;
+    after.inventory.servers.erase(after.inventory.servers.begin() + 1);
+    after.rules.classes[0].deadline = Millis{3000};
+    after.rules.routes.back().requestClass = ClassName("waivers");
+    after.rules.defaultClass = ClassName("browsing");
+    std::swap(after.rules.classes[1], after.rules.classes[2]);
+    const std::vector<std::string> expected{
+        "~ server raft-catalogue-1: slots 140 -> 150",
+        "- server raft-catalogue-2: service raft-catalogue, domain akan-b, slots 140, connections 900",
+        "~ class browsing: deadline 2000 ms -> 3000 ms",
+        "~ class order: deposits > bookings > waivers > browsing -> deposits > waivers > bookings > browsing",
+        "~ route lake-board GET /: class browsing -> waivers",
+        "~ default class: bookings -> browsing",
+    };
+    CHECK(describeDifference(before.inventory, before.rules, after.inventory, after.rules) == expected);
+    CHECK(describeDifference({}, {}, before.inventory, before.rules).size() == 3 + 4 + 16 + 4 + 1 + 7 + 1);
+}
+
+TEST_CASE("DaemonSettingsCheck: a daemon must be where the inventory has its server")
+{
+    // Guards against a daemon that joins the roster of the wrong failure domain.
+    const Configuration kitami = exampleConfiguration("kitami");
+    auto settings = parseDaemonSettings(readExample("kitami/daemon.json"), "daemon.json");
+    REQUIRE(settings.has_value());
+    const DaemonSettingsCheck check("daemon.json");
+    CHECK(check.checkAgainst(*settings, kitami.inventory).empty());
+    settings->domain = FailureDomainName("akan-b");
+    CHECK(check.checkAgainst(*settings, kitami.inventory).at(0).place == "/domain");
+    settings->server = ServerName("desk-9");
+    CHECK(check.checkAgainst(*settings, kitami.inventory).at(0).place == "/server");
+}
--- a/src/config/configuration.h
+++ b/src/config/configuration.h
@@ -35,8 +35,8 @@
 /**
  * Content of the platform's object `config`.
  *
- * The version is a counter inside the object, 1 for the first configuration and one more with each change. It is
- * independent of the version by which the platform's store makes its updates conditional.
+ * The version is that under which the platform's store keeps the object: 1 for the first configuration and one more
+ * with each change. It also stands inside the object, so that it goes along with the content from daemon to daemon.
  */
 struct Configuration {
     ConfigVersion version;
--- /dev/null
+++ b/src/config/daemonsettings.cpp
@@ -0,0 +1,85 @@
+#include "config/daemonsettings.h"
+
+#include "config/daemonsettingscheck.h"
+#include "config/jsontext.h"
+#include "config/objectreader.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace Hibiscus
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+std::vector<HostAddress> readSeeds(ObjectReader &reader, ErrorList &errors)
+{
+    std::vector<HostAddress> seeds;
+    reader.list("seeds", false, [&](const json &entry, const std::string &place) {
+        if (!entry.is_string()) {
+            errors.add(place, entry, "an address in quotes");
+        }
+        seeds.emplace_back(entry.is_string() ? entry.get<std::string>() : std::string());
+    });
+    return seeds;
+}
+
+DaemonSettings readSettings(const json &value, ErrorList &errors)
+{
+    ObjectReader reader(value, "", errors);
+    DaemonSettings settings;
+    settings.server = ServerName(reader.freeText("server"));
+    settings.domain = FailureDomainName(reader.freeText("domain"));
+    settings.callers = HostAddress(reader.freeText("callers"));
+    settings.local = HostAddress(reader.freeText("local"));
+    settings.peers = HostAddress(reader.freeText("peers"));
+    settings.backend = HostAddress(reader.freeText("backend"));
+    settings.healthPath = reader.freeText("healthPath");
+    settings.platform = HostAddress(reader.freeText("platform"));
+    settings.seeds = readSeeds(reader, errors);
+    if (reader.has("workers")) {
+        // Only the type is checked here; DaemonSettingsCheck knows the range.
+        settings.workers = static_cast<int>(
+            reader.integer("workers", std::numeric_limits<int>::min(), std::numeric_limits<int>::max()));
+    }
+    if (reader.has("logDirectory")) {
+        settings.logDirectory = reader.text("logDirectory", kMaximumLogDirectoryBytes);
+    }
+    reader.finish();
+    return settings;
+}
+
+} // namespace
+
+tl::expected<DaemonSettings, std::vector<ConfigError>> parseDaemonSettings(std::string_view text,
+                                                                           const std::string &file)
+{
+    ErrorList list(file);
+    const json value = parseJsonText(text, list);
+    if (value.is_null() && !list.empty()) {
+        return tl::unexpected(list.take());
+    }
+    DaemonSettings settings = readSettings(value, list);
+    std::vector<ConfigError> errors = list.take();
+    if (!value.is_object()) {
+        return tl::unexpected(std::move(errors));
+    }
+    // A value of the wrong type was reported by the reader, which then left a default that would be reported again.
+    for (ConfigError &error : DaemonSettingsCheck(file).check(settings)) {
+        const bool reported = std::any_of(errors.begin(), errors.end(),
+                                          [&](const ConfigError &other) { return other.place == error.place; });
+        if (!reported) {
+            errors.push_back(std::move(error));
+        }
+    }
+    if (!errors.empty()) {
+        return tl::unexpected(std::move(errors));
+    }
+    return settings;
+}
+
+} // namespace Hibiscus
--- a/src/config/daemonsettings.h
+++ b/src/config/daemonsettings.h
@@ -4,6 +4,7 @@
 #include "config/configerror.h"
 #include "core/ids.h"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,6 +14,9 @@
 namespace Hibiscus
 {
 
+/** Longest path of the log folder, in bytes, as the operating system limits it. */
+inline constexpr std::size_t kMaximumLogDirectoryBytes = 4095;
+
 /** Settings of one daemon: who it is, where it listens and whom it talks to. */
 struct DaemonSettings {
     ServerName server; ///< Backend server beside which the daemon runs; a name of the inventory.
--- /dev/null
+++ b/src/config/inventoryjson.cpp
@@ -0,0 +1,121 @@
+#include "config/inventoryjson.h"
+
+#include "config/nameregister.h"
+#include "config/objectreader.h"
+#include "config/valueformat.h"
+
+#include <cstdint>
+
+namespace Hibiscus
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::int64_t kMaximumSlots = 100'000;
+constexpr std::int64_t kMaximumConnections = 1'000'000;
+
+/** Reads one inventory; the registers hold the names that its parts share. */
+class InventoryReader
+{
+public:
+    explicit InventoryReader(ErrorList &errors)
+        : errors_(errors)
+        , domains_("failure domain", errors)
+        , services_("service", errors)
+        , servers_("server", errors)
+    {
+    }
+
+    Inventory read(const json &value, const std::string &place)
+    {
+        ObjectReader reader(value, place, errors_);
+        reader.list("domains", false, [this](const json &entry, const std::string &at) { readDomain(entry, at); });
+        reader.list("services", false, [this](const json &entry, const std::string &at) { readService(entry, at); });
+        reader.list("servers", false, [this](const json &entry, const std::string &at) { readServer(entry, at); });
+        reader.finish();
+        if (!inventory_.servers.empty()) {
+            // A domain without servers has nobody to confirm a change, so no change would ever be accepted.
+            domains_.reportUnused("a failure domain with a server or more");
+            services_.reportUnused("a service with a server or more");
+        }
+        return std::move(inventory_);
+    }
+
+private:
+    void readDomain(const json &value, const std::string &place)
+    {
+        ObjectReader reader(value, place, errors_);
+        FailureDomainEntry entry;
+        entry.name = FailureDomainName(reader.name("name"));
+        entry.region = reader.name("region");
+        reader.finish();
+        domains_.define(entry.name.value(), reader.placeOf("name"));
+        inventory_.domains.push_back(std::move(entry));
+    }
+
+    void readService(const json &value, const std::string &place)
+    {
+        if (!value.is_string() || !isName(value.get_ref<const std::string &>())) {
+            errors_.add(place, value, kNameAllowed);
+            return;
+        }
+        services_.define(value.get<std::string>(), place);
+        inventory_.services.emplace_back(value.get<std::string>());
+    }
+
+    void readServer(const json &value, const std::string &place)
+    {
+        ObjectReader reader(value, place, errors_);
+        BackendServerEntry entry;
+        entry.name = ServerName(reader.name("name"));
+        entry.service = ServiceName(reader.name("service"));
+        entry.domain = FailureDomainName(reader.name("domain"));
+        entry.slots = static_cast<int>(reader.integer("slots", 1, kMaximumSlots));
+        // Each request takes a connection of its own, so slots beyond the connections could never be used.
+        entry.connections = static_cast<int>(reader.integer("connections", entry.slots, kMaximumConnections));
+        reader.finish();
+        servers_.define(entry.name.value(), reader.placeOf("name"));
+        services_.refer(entry.service.value(), reader.placeOf("service"));
+        domains_.refer(entry.domain.value(), reader.placeOf("domain"));
+        inventory_.servers.push_back(std::move(entry));
+    }
+
+    ErrorList &errors_;
+    NameRegister domains_;
+    NameRegister services_;
+    NameRegister servers_;
+    Inventory inventory_;
+};
+
+} // namespace
+
+Inventory readInventory(const json &value, const std::string &place, ErrorList &errors)
+{
+    return InventoryReader(errors).read(value, place);
+}
+
+json writeInventory(const Inventory &inventory)
+{
+    json domains = json::array();
+    for (const FailureDomainEntry &domain : inventory.domains) {
+        domains.push_back({{"name", domain.name.value()}, {"region", domain.region}});
+    }
+    json services = json::array();
+    for (const ServiceName &service : inventory.services) {
+        services.push_back(service.value());
+    }
+    json servers = json::array();
+    for (const BackendServerEntry &server : inventory.servers) {
+        servers.push_back({{"name", server.name.value()},
+                           {"service", server.service.value()},
+                           {"domain", server.domain.value()},
+                           {"slots", server.slots},
+                           {"connections", server.connections}});
+    }
+    return {{"domains", domains}, {"services", services}, {"servers", servers}};
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/src/config/requestpath.h
@@ -0,0 +1,24 @@
+#ifndef HIBISCUS_CONFIG_REQUESTPATH_H
+#define HIBISCUS_CONFIG_REQUESTPATH_H
+
+#include <string>
+#include <string_view>
+
+namespace Hibiscus
+{
+
+/**
+ * Path in the one spelling by which rules are matched: without query and fragment, percent-decoded, without empty, "."
+ * and ".." segments and without a trailing slash.
+ *
+ * A backend server treats "/deposits", "//deposits/" and "/%64eposits" alike; if the rules did not, another spelling
+ * could turn a non-repeatable request into a repeatable one.
+ */
+std::string normalizePath(std::string_view path);
+
+/** Whether the normalized @p path equals the normalized @p prefix or lies below it. */
+bool pathStartsWith(std::string_view path, std::string_view prefix);
+
+} // namespace Hibiscus
+
+#endif
