Daemon: control loop and program (not yet linked)

Cause: the control messages' codecs are still being written. Before and after: the daemon library's sources pass the compiler's syntax check; nothing was run.

--- /dev/null
+++ b/src/apps/hibiscusd.cpp
@@ -0,0 +1,118 @@
+#include "config/daemonsettings.h"
+#include "core/logevent.h"
+#include "daemon/daemon.h"
+
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+#include <CLI/CLI.hpp>
+#include <glog/logging.h>
+
+namespace
+{
+
+constexpr int kExitOk = 0;
+constexpr int kExitBadSettings = 2;
+constexpr int kExitListener = 4;
+constexpr std::chrono::milliseconds kPollInterval{50};
+/** After the last request the process stays this long, so that outcome queries find its answers. */
+constexpr std::chrono::milliseconds kOutcomeLinger{5000};
+
+volatile std::sig_atomic_t stopSignals = 0;
+
+void countStopSignal(int /*signal*/)
+{
+    stopSignals = stopSignals + 1;
+}
+
+std::string readFile(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        std::cerr << path << ": cannot be read\n";
+        std::exit(kExitBadSettings);
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+Hibiscus::DaemonSettings loadSettings(const std::string &path)
+{
+    auto settings = Hibiscus::parseDaemonSettings(readFile(path), path);
+    if (!settings) {
+        std::cerr << Hibiscus::formatConfigErrors(settings.error()) << '\n';
+        std::exit(kExitBadSettings);
+    }
+    return *settings;
+}
+
+void startLogging(const char *program, const Hibiscus::DaemonSettings &settings)
+{
+    FLAGS_logtostderr = settings.logDirectory.empty();
+    FLAGS_log_dir = settings.logDirectory;
+    google::InitGoogleLogging(program);
+}
+
+/** Drains until no request is in progress; a second signal ends the wait. */
+void drainUntilIdle(Hibiscus::Daemon &daemon)
+{
+    daemon.drain();
+    auto idleSince = std::chrono::steady_clock::now();
+    while (stopSignals < 2 && std::chrono::steady_clock::now() - idleSince < kOutcomeLinger) {
+        if (daemon.inFlight() > 0) {
+            idleSince = std::chrono::steady_clock::now();
+        }
+        std::this_thread::sleep_for(kPollInterval);
+    }
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app{"hibiscusd: carries calls between callers and backend servers under overload control"};
+    app.set_version_flag("--version", "hibiscusd " HIBISCUS_VERSION);
+    std::string settingsFile;
+    bool checkOnly = false;
+    app.add_option("settings,--settings", settingsFile, "Settings file (JSON with comments)");
+    app.add_option_function<std::string>(
+        "--check-config",
+        [&](const std::string &path) {
+            settingsFile = path;
+            checkOnly = true;
+        },
+        "Check a settings file and exit");
+    CLI11_PARSE(app, argc, argv);
+    if (settingsFile.empty()) {
+        std::cerr << "no settings file given; see --help\n";
+        return kExitBadSettings;
+    }
+
+    const Hibiscus::DaemonSettings settings = loadSettings(settingsFile);
+    if (checkOnly) {
+        std::cout << settingsFile << ": ok\n";
+        return kExitOk;
+    }
+    startLogging(argv[0], settings);
+    std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGTERM, countStopSignal);
+    std::signal(SIGINT, countStopSignal);
+
+    Hibiscus::Daemon daemon(settings);
+    if (const auto started = daemon.start(); !started) {
+        std::cerr << started.error() << '\n';
+        daemon.stop();
+        return kExitListener;
+    }
+    while (stopSignals == 0) {
+        std::this_thread::sleep_for(kPollInterval);
+    }
+    drainUntilIdle(daemon);
+    daemon.stop();
+    return kExitOk;
+}
--- a/src/daemon/controlloop.h
+++ b/src/daemon/controlloop.h
@@ -31,7 +31,7 @@
     ServerName agent;
     bool isAgent = false;
     bool platformAvailable = false;
-    std::vector<MemberRecord> members;
+    std::shared_ptr<const std::vector<MemberRecord>> members = std::make_shared<std::vector<MemberRecord>>();
 };
 
 /** I/O of the DomainAgent: control messages between daemons, platform calls, and timers. */
@@ -93,6 +93,7 @@
     std::atomic<double> leaseExpiry_{0};
     std::atomic<bool> platformAvailable_{false};
     std::atomic<bool> stopping_{false};
+    std::shared_ptr<const std::vector<MemberRecord>> members_ = std::make_shared<std::vector<MemberRecord>>();
     mutable std::mutex statusMutex_;
     ControlStatus status_;
 };
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -29,6 +29,13 @@
 constexpr std::chrono::milliseconds kHealthTick{200};
 constexpr std::chrono::milliseconds kTableTick{1000};
 
+HttpObjectStoreSettings storeSettings(const DaemonSettings &settings)
+{
+    HttpObjectStoreSettings result;
+    result.address = settings.platform;
+    return result;
+}
+
 } // namespace
 
 class Daemon::Private
@@ -88,7 +95,7 @@
     , context(settings.workers)
     , work(asio::make_work_guard(context))
     , client(context)
-    , store(HttpObjectStoreSettings{settings.platform})
+    , store(storeSettings(settings))
     , health(self, settings.healthPath, client, clock)
 {
     AgentSettings agent{settings.server, settings.domain, {}, settings.peers, self.incarnation, settings.seeds};
@@ -133,13 +140,13 @@
     asio::steady_timer *timer = timers.back().get();
     const auto run = std::make_shared<std::function<void(const asio::error_code &)>>();
     *run = [timer, period, step = std::move(step), weak = std::weak_ptr(run)](const asio::error_code &error) {
-        const auto self = weak.lock();
-        if (error || !self) {
+        const auto again = weak.lock();
+        if (error || !again) {
             return;
         }
         step();
         timer->expires_after(period);
-        timer->async_wait([self](const asio::error_code &next) { (*self)(next); });
+        timer->async_wait([again](const asio::error_code &next) { (*again)(next); });
     };
     timer->expires_after(period);
     timer->async_wait([run](const asio::error_code &error) { (*run)(error); });
@@ -170,7 +177,7 @@
                                       static_cast<int>(configuration->rules.classes.size())};
     tables.configuration.install(std::move(configuration));
     tables.admission.with([&](AdmissionController &controller) { controller.configure(admission); });
-    updateRoutes(control->status().members);
+    updateRoutes(*control->status().members);
     return rosters;
 }
 
@@ -180,15 +187,15 @@
     if (!configuration) {
         return;
     }
-    RoutingTable::Services services_;
+    RoutingTable::Services servers;
     for (const MemberRecord &member : members) {
         const BackendServerEntry *entry = findServer(configuration->inventory, member.name);
         if (entry != nullptr && member.up) {
-            services_[entry->service].push_back(
+            servers[entry->service].push_back(
                 {member.name, member.peerAddress, member.incarnation, member.domain, member.draining});
         }
     }
-    routing.with([&](RoutingTable &table) { table.update(services_); });
+    routing.with([&](RoutingTable &table) { table.update(servers); });
 }
 
 void Daemon::Private::receiveEntries(const std::vector<PayloadEntry> &entries)
--- a/src/daemon/statuspage.cpp
+++ b/src/daemon/statuspage.cpp
@@ -11,7 +11,7 @@
 nlohmann::json controlSection(const ControlStatus &control)
 {
     nlohmann::json members = nlohmann::json::array();
-    for (const MemberRecord &member : control.members) {
+    for (const MemberRecord &member : *control.members) {
         members.push_back({{"name", member.name.value()},
                            {"domain", member.domain.value()},
                            {"peers", member.peerAddress.value()},
