Judge limit trials by throughput and steady the admission level

Own service times are now smoothed over several service times, and a back-off is kept only if the throughput held. The reserve reacted to the scatter of ages, and the level worked off queues so fast that slots went idle; both are damped.

--- a/src/admission/admissioncontroller.cpp
+++ b/src/admission/admissioncontroller.cpp
@@ -35,7 +35,7 @@
 AdmissionController::AdmissionController(const AdmissionSettings &settings, const Clock &clock)
     : clock_(clock)
     , settings_(checked(settings))
-    , limit_(settings_.slots)
+    , limit_(settings_.slots, clock.now())
     , reserve_(settings_.classCount, clock.now())
     , queue_(settings_.classCount)
     , level_(settings_.classCount)
@@ -73,6 +73,7 @@
     }
     if (!queue_.push(ticket)) {
         window_.classes[static_cast<std::size_t>(ticket.classRank)].dropped = true;
+        dropBelow_ = std::max(dropBelow_, ticket.classRank);
         return refused(ErrorKind::Overloaded);
     }
     return {Decision::Kind::Queued};
@@ -85,11 +86,11 @@
         const Running running = found->second;
         running_.erase(found);
         reserve_.finished(running.classRank, running.start, now, sample.ownTime());
-        limit_.record(sample, running.start, this->running());
+        limit_.record(sample, this->running());
         window_.completed += sample.serverShed ? 0 : 1;
     }
     Dispatch dispatch;
-    closeWindow(dispatch, now);
+    closeWindow(now);
     startQueued(dispatch, now);
     return dispatch;
 }
@@ -100,7 +101,7 @@
     Dispatch dispatch;
     dropLate(dispatch, now);
     dropOverdue(dispatch, now);
-    closeWindow(dispatch, now);
+    closeWindow(now);
     startQueued(dispatch, now);
     return dispatch;
 }
@@ -200,21 +201,18 @@
     append(dispatch, late, ErrorKind::DeadlineBeforeRun);
 }
 
-/** With an overdue ticket those of lower classes go too, or one of them would be served in its stead. */
 void AdmissionController::dropOverdue(Dispatch &dispatch, TimePoint now)
 {
-    int highest = 0;
     const std::vector<Ticket> overdue = queue_.takeOverdue(now, settings_.classCount - 1);
     for (const Ticket &ticket : overdue) {
         recordWait(ticket, now);
         window_.classes[static_cast<std::size_t>(ticket.classRank)].dropped = true;
-        highest = std::max(highest, ticket.classRank);
+        dropBelow_ = std::max(dropBelow_, ticket.classRank);
     }
     append(dispatch, overdue, ErrorKind::Overloaded);
-    append(dispatch, queue_.takeBelow(highest), ErrorKind::Overloaded);
 }
 
-void AdmissionController::closeWindow(Dispatch &dispatch, TimePoint now)
+void AdmissionController::closeWindow(TimePoint now)
 {
     if (now - windowStart_ < kAdmissionWindow) {
         return;
@@ -234,14 +232,15 @@
     windowStart_ = now;
     peakInFlight_ = running();
     if (level().value > 0) {
-        // While some of a class is refused, queued tickets of lower classes must not be served.
-        const int highestRefused = (level().value - 1) / kBucketsPerClass;
-        append(dispatch, queue_.takeBelow(highestRefused), ErrorKind::Overloaded);
+        // The highest class of which some is refused.
+        dropBelow_ = std::max(dropBelow_, (level().value - 1) / kBucketsPerClass);
     }
 }
 
 void AdmissionController::startQueued(Dispatch &dispatch, TimePoint now)
 {
+    append(dispatch, queue_.takeBelow(dropBelow_), ErrorKind::Overloaded);
+    dropBelow_ = 0;
     for (auto highest = queue_.highestClass(); highest; highest = queue_.highestClass()) {
         if (!reserve_.canStart(*highest, limit())) {
             return;
--- a/src/admission/admissioncontroller.h
+++ b/src/admission/admissioncontroller.h
@@ -91,7 +91,7 @@
     void recordWait(const Ticket &ticket, TimePoint now);
     void dropLate(Dispatch &dispatch, TimePoint now);
     void dropOverdue(Dispatch &dispatch, TimePoint now);
-    void closeWindow(Dispatch &dispatch, TimePoint now);
+    void closeWindow(TimePoint now);
     void startQueued(Dispatch &dispatch, TimePoint now);
 
     const Clock &clock_;
@@ -104,6 +104,9 @@
     WindowLoad window_;
     TimePoint windowStart_;
     int peakInFlight_ = 0;
+    // Queued tickets below this class are refused before the next start: a ticket of this class was refused as
+    // Overloaded, and none that arrived before and matters less may be served in its stead.
+    int dropBelow_ = 0;
     bool draining_ = false;
     bool healthy_ = true;
 };
--- a/src/admission/admissionlevel.cpp
+++ b/src/admission/admissionlevel.cpp
@@ -17,9 +17,9 @@
 constexpr double kSmoothingCount = 16;
 // Queue length that is no reason to shed, as a part of what completes in a window (10 ms).
 constexpr double kAllowedQueue = 0.1;
-// A longer queue is worked off over two windows, but at the price of at most half the admitted load.
-constexpr double kQueueShare = 0.5;
-constexpr double kLeastTarget = 0.5;
+// A longer queue is worked off at the price of at most this share of the admitted load. What waits too long is dropped
+// anyway, and a queue that empties while load is being shed leaves slots idle.
+constexpr double kDrainShare = 0.1;
 // A class is shed only after the lower ones hold no more than this share of the limit.
 constexpr double kLowerClassShare = 0.1;
 // From the highest level to 0 within 10 windows (1 s).
@@ -140,7 +140,7 @@
 {
     const int allowed = highestAllowed(load);
     const double excess = std::max(0.0, static_cast<double>(load.queued) - kAllowedQueue * completed_);
-    const double target = std::max(completed_ - kQueueShare * excess, kLeastTarget * completed_);
+    const double target = completed_ - std::min(excess, kDrainShare * completed_);
     double expected = expectedAdmitted();
     while (level_ < allowed && expected > target) {
         expected -= perBucketAt(level_);
--- a/src/admission/admissionqueue.cpp
+++ b/src/admission/admissionqueue.cpp
@@ -1,5 +1,6 @@
 #include "admission/admissionqueue.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -89,7 +90,16 @@
 
 std::vector<Ticket> AdmissionQueue::takeBelow(int classRank)
 {
-    return takeIf([classRank](const Ticket &ticket) { return ticket.classRank < classRank; });
+    std::vector<Ticket> taken;
+    const std::size_t end = std::min(static_cast<std::size_t>(classRank), classes_.size());
+    for (std::size_t i = 0; i < end; ++i) {
+        for (const Ticket &ticket : classes_[i]) {
+            index_.erase(ticket.id);
+            taken.push_back(ticket);
+        }
+        classes_[i].clear();
+    }
+    return taken;
 }
 
 std::size_t AdmissionQueue::size() const
--- a/src/admission/classreserve.cpp
+++ b/src/admission/classreserve.cpp
@@ -16,6 +16,11 @@
 // Shorter own service times are mostly loopback and scheduling noise, in ms.
 constexpr double kShortestOwnTime = 1;
 
+// Hold time, in own service times, from which slots count as stalled; full at one more.
+constexpr double kFirstStall = 1.5;
+// The mean age of what runs equals the service time if that is exponentially distributed, and scatters with few.
+constexpr double kAgeWeight = 0.5;
+
 } // namespace
 
 ClassReserve::ClassReserve(int classCount, TimePoint now)
@@ -132,7 +137,7 @@
     integratedTo_ = now;
 }
 
-/** From 0 (slots are held for the own service time only) to 1 (for twice as long or longer). */
+/** From 0 (slots are held for little more than the own service time) to 1 (for more than twice as long). */
 double ClassReserve::stallOf(const Cut &cut, TimePoint now) const
 {
     if (cut.lowerInFlight == 0) {
@@ -140,8 +145,8 @@
     }
     // The age counts what is still waiting for a child that does not answer at all.
     const double meanAge = now.value - cut.lowerStartSum / cut.lowerInFlight;
-    const double hold = std::max(cut.lowerHold, meanAge);
-    return std::clamp(hold / std::max(cut.lowerOwn, kShortestOwnTime) - 1, 0.0, 1.0);
+    const double hold = std::max(cut.lowerHold, meanAge * kAgeWeight);
+    return std::clamp(hold / std::max(cut.lowerOwn, kShortestOwnTime) - kFirstStall, 0.0, 1.0);
 }
 
 void ClassReserve::closeCut(std::size_t index, TimePoint now)
@@ -153,8 +158,9 @@
     }
     cut.higherMean += kMeanWeight * (higher - cut.higherMean);
     const double peak = std::max({cut.peak, cut.previousPeak, cut.higherInFlight});
-    const double reserve = cut.higherMean + stallOf(cut, now) * (peak - cut.higherMean);
-    cut.reserve = static_cast<int>(std::lround(std::max(reserve, 0.0)));
+    // One standard deviation of a Poisson distribution below the mean: at the mean, 2 to 5% of the slots stay idle.
+    const double usual = std::max(0.0, cut.higherMean - std::sqrt(cut.higherMean));
+    cut.reserve = static_cast<int>(std::lround(usual + stallOf(cut, now) * std::max(0.0, peak - usual)));
 }
 
 } // namespace Hibiscus
--- a/src/admission/classreserve.h
+++ b/src/admission/classreserve.h
@@ -11,9 +11,9 @@
 
 /**
  * Slots that lower classes leave to higher ones. Classes up to c together may hold at most limit minus the reserve of
- * c. The reserve is the mean recent concurrency of the higher classes while slots are released quickly, and rises to
- * their recent peak as the classes up to c come to hold slots for twice their own service time, as they do while they
- * wait for a slow deep service. A reserve of the peak at all times would leave more than 5% of the slots idle.
+ * c. The reserve is a little below the mean concurrency of the higher classes while slots are released quickly, since
+ * then a queued request of a higher class gets the next slot soon. It rises to their recent peak as the classes up to
+ * c come to hold slots for twice their own service time, as they do while they wait for a slow deep service.
  */
 class ClassReserve
 {
--- a/src/admission/concurrencylimit.cpp
+++ b/src/admission/concurrencylimit.cpp
@@ -15,30 +15,43 @@
 constexpr double kShortestOwnTime = 1;
 // The long-term minimum covers this period and the one before, so that a lasting change becomes the new normal.
 constexpr Millis kBaselinePeriod{60000};
-// A window of this many samples moves the smoothed own service time halfway.
+// A window of this many samples moves the smoothed own service time halfway, if it is long enough.
 constexpr double kSmoothingSamples = 64;
-// The mean of fewer exponentially distributed samples has a standard error above 12.5%.
+// The requests that end first after a rise of the load are the short ones. Smoothing over several service times keeps
+// them from passing for a fast server.
+constexpr double kSmoothingOwnTimes = 5;
+constexpr double kSettlingOwnTimes = 20;
+constexpr Millis kLeastSettling{1000};
 constexpr int kLeastSamples = 64;
 // Only a limit that was nearly reached can have caused overload.
 constexpr double kUsedShare = 0.75;
 constexpr double kTrialFactor = 0.7;
-// Halfway between the effect on an overloaded server (0.7) and none (1.0).
-constexpr double kImprovedFactor = 0.85;
-constexpr Millis kLeastSettling{100};
+// Halfway between the effect on the throughput of an overloaded server (1.0) and of any other (0.7).
+constexpr double kKeptThroughput = 0.85;
+// The standard error of a rate measured over this many requests is 7%.
+constexpr int kTrialSamples = 200;
+constexpr int kLeastTrialSamples = 30;
+constexpr Millis kTrialSettling{100};
 constexpr Millis kLongestTrial{3000};
+constexpr double kShedFactor = 0.7;
 // Shedding by a server with free slots must not stop all work.
 constexpr double kLowestShare = 0.125;
 // From 0 to all slots within 2 s of windows of 100 ms.
 constexpr double kRaiseShare = 0.05;
-constexpr double kCarefulRaiseShare = 0.005;
-constexpr double kTroubleMargin = 0.95;
-constexpr Millis kTroubleMemory{10000};
+// The first raise after a back-off is small and grows from window to window, to stay close to the real limit.
+constexpr double kFirstRaiseShare = 0.0025;
+constexpr double kRaiseGrowth = 1.6;
+constexpr double kLeastRaise = 0.05;
 
 } // namespace
 
-ConcurrencyLimit::ConcurrencyLimit(int slots)
+ConcurrencyLimit::ConcurrencyLimit(int slots, TimePoint now)
     : slots_(std::max(slots, 1))
     , limit_(slots_)
+    , raiseShare_(kRaiseShare)
+    , windowStart_(now)
+    , learningSince_(now)
+    , periodStart_(now)
 {
 }
 
@@ -59,10 +72,10 @@
     coldSince_ = now;
     limit_ = ceiling(now);
     trial_.reset();
-    resetBaseline(std::nullopt);
+    forgetOwnTime(now);
 }
 
-void ConcurrencyLimit::record(const ServiceSample &sample, TimePoint start, int othersInFlight)
+void ConcurrencyLimit::record(const ServiceSample &sample, int othersInFlight)
 {
     if (sample.serverShed) {
         backOffAfterShed(othersInFlight);
@@ -71,37 +84,34 @@
     if (sample.failed) {
         return;
     }
-    const double ownTime = std::max(sample.ownTime().value, kShortestOwnTime);
-    windowSum_ += ownTime;
+    windowSum_ += std::max(sample.ownTime().value, kShortestOwnTime);
     ++windowCount_;
-    if (trial_ && start >= trial_->settled) {
-        trial_->sum += ownTime;
-        ++trial_->count;
-    }
 }
 
 void ConcurrencyLimit::closeWindow(TimePoint now, int peakInFlight)
 {
-    smoothOwnTime();
     if (coldSince_ && now - *coldSince_ >= kColdStart) {
         coldSince_.reset();
-        resetBaseline(std::nullopt);
+        forgetOwnTime(now);
+    }
+    if (trial_ && windowStart_ >= trial_->begin) {
+        trial_->completed += windowCount_;
+        trial_->measured = trial_->measured + (now - windowStart_);
     }
+    smoothOwnTime(now);
     if (limitBeforeShed_) {
-        noteTrouble(limit_, now);
         limitBeforeShed_.reset();
         trial_.reset();
+        raiseShare_ = kFirstRaiseShare;
     } else if (trial_) {
         judgeTrial(now);
-    } else {
-        learnBaseline(now);
-        if (!isSlow()) {
-            raise(now);
-        } else if (peakInFlight >= kUsedShare * value()) {
-            startTrial(now);
-        }
+    } else if (learnBaseline(now); !isSlow()) {
+        raise();
+    } else if (peakInFlight >= kUsedShare * value()) {
+        startTrial(now);
     }
     limit_ = std::clamp(limit_, lowest(), ceiling(now));
+    windowStart_ = now;
 }
 
 double ConcurrencyLimit::lowest() const
@@ -118,38 +128,42 @@
     return std::max(1.0, slots_ * (0.5 + 0.5 * warm));
 }
 
-void ConcurrencyLimit::noteTrouble(double limit, TimePoint now)
-{
-    troubleLimit_ = limit;
-    troubleAt_ = now;
-}
-
 /** The server holds at most the other requests, hence they are its real limit. At most 30% off in one window. */
 void ConcurrencyLimit::backOffAfterShed(int othersInFlight)
 {
     if (!limitBeforeShed_) {
         limitBeforeShed_ = limit_;
     }
-    const double least = std::max(lowest(), *limitBeforeShed_ * kTrialFactor);
+    const double least = std::max(lowest(), *limitBeforeShed_ * kShedFactor);
     limit_ = std::min(limit_, std::max<double>(othersInFlight, least));
 }
 
-void ConcurrencyLimit::smoothOwnTime()
+void ConcurrencyLimit::smoothOwnTime(TimePoint now)
 {
-    if (windowCount_ == 0) {
-        return;
+    const double length = std::max((now - windowStart_).value, 1.0);
+    const double count = windowCount_;
+    if (windowCount_ > 0) {
+        const double mean = windowSum_ / count;
+        const double weight = ownTimeSamples_ == 0
+            ? 1
+            : std::min(count / (count + kSmoothingSamples), length / (length + kSmoothingOwnTimes * ownTime_));
+        ownTime_ += weight * (mean - ownTime_);
+        rate_ += weight * (count / length - rate_);
     }
-    const double mean = windowSum_ / windowCount_;
-    const double weight = ownTimeSamples_ == 0 ? 1 : windowCount_ / (windowCount_ + kSmoothingSamples);
-    ownTime_ += weight * (mean - ownTime_);
     ownTimeSamples_ = std::min(ownTimeSamples_ + windowCount_, kLeastSamples);
     windowSum_ = 0;
     windowCount_ = 0;
 }
 
+bool ConcurrencyLimit::knowsOwnTime(TimePoint now) const
+{
+    const Millis settling{std::max(kLeastSettling.value, kSettlingOwnTimes * ownTime_)};
+    return !coldSince_ && ownTimeSamples_ >= kLeastSamples && now - learningSince_ >= settling;
+}
+
 void ConcurrencyLimit::learnBaseline(TimePoint now)
 {
-    if (coldSince_ || ownTimeSamples_ < kLeastSamples) {
+    if (!knowsOwnTime(now)) {
         return;
     }
     if (now - periodStart_ >= kBaselinePeriod) {
@@ -160,56 +174,45 @@
     minimum_ = std::min(minimum_.value_or(ownTime_), ownTime_);
 }
 
-void ConcurrencyLimit::resetBaseline(std::optional<double> ownTime)
+void ConcurrencyLimit::forgetOwnTime(TimePoint now)
 {
-    minimum_ = ownTime;
+    learningSince_ = now;
+    ownTimeSamples_ = 0;
+    minimum_.reset();
     previousMinimum_.reset();
-    ownTime_ = ownTime.value_or(0);
-    ownTimeSamples_ = ownTime ? kLeastSamples : 0;
 }
 
 bool ConcurrencyLimit::isSlow() const
 {
-    if (coldSince_ || !minimum_ || ownTimeSamples_ < kLeastSamples) {
-        return false;
-    }
-    return ownTime_ > kSlowFactor * std::min(*minimum_, previousMinimum_.value_or(*minimum_));
+    return minimum_ && ownTime_ > kSlowFactor * std::min(*minimum_, previousMinimum_.value_or(*minimum_));
 }
 
 void ConcurrencyLimit::startTrial(TimePoint now)
 {
-    const Millis settling{std::max(kLeastSettling.value, ownTime_)};
-    trial_ = Trial{.limitBefore = limit_,
-                   .ownTimeBefore = ownTime_,
-                   .settled = now + settling,
-                   .end = now + settling + kLongestTrial};
+    const TimePoint begin = now + Millis{std::max(kTrialSettling.value, ownTime_)};
+    trial_ = Trial{.limitBefore = limit_, .rateBefore = rate_, .begin = begin, .end = begin + kLongestTrial};
     limit_ *= kTrialFactor;
 }
 
 void ConcurrencyLimit::judgeTrial(TimePoint now)
 {
-    if (trial_->count < kLeastSamples) {
-        if (now >= trial_->end) {
-            limit_ = trial_->limitBefore;
-            trial_.reset();
-        }
+    if (trial_->completed < kTrialSamples && now < trial_->end) {
         return;
     }
-    const double ownTime = trial_->sum / trial_->count;
-    if (ownTime < kImprovedFactor * trial_->ownTimeBefore) {
-        ownTime_ = ownTime;
-        noteTrouble(trial_->limitBefore, now);
+    const double rate = trial_->completed / std::max(trial_->measured.value, 1.0);
+    if (trial_->completed >= kLeastTrialSamples && rate >= kKeptThroughput * trial_->rateBefore) {
+        raiseShare_ = kFirstRaiseShare;
     } else {
         limit_ = trial_->limitBefore;
-        resetBaseline(ownTime);
+        forgetOwnTime(now);
     }
     trial_.reset();
 }
 
-void ConcurrencyLimit::raise(TimePoint now)
+void ConcurrencyLimit::raise()
 {
-    const bool careful = now - troubleAt_ < kTroubleMemory && limit_ >= kTroubleMargin * troubleLimit_;
-    limit_ += careful ? std::max(0.1, slots_ * kCarefulRaiseShare) : std::max(1.0, slots_ * kRaiseShare);
+    limit_ += std::max(slots_ * raiseShare_, kLeastRaise);
+    raiseShare_ = std::min(raiseShare_ * kRaiseGrowth, kRaiseShare);
 }
 
 } // namespace Hibiscus
--- a/src/admission/concurrencylimit.h
+++ b/src/admission/concurrencylimit.h
@@ -14,13 +14,13 @@
  * child calls is left out, so a slow deep service does not shrink the limit, and nothing that the server says about
  * its load is used.
  *
- * A back-off is a trial: if fewer requests at a time did not shorten the own service time, then the server was not
+ * A back-off for a long service time is a trial: if the throughput falls with the limit, then the server was not
  * overloaded (the mix of requests changed, or the server is slower at any load), and the limit is restored.
  */
 class ConcurrencyLimit
 {
 public:
-    explicit ConcurrencyLimit(int slots);
+    ConcurrencyLimit(int slots, TimePoint now);
 
     /** Whole requests, from 1 to the slots. */
     int value() const;
@@ -31,53 +31,54 @@
      */
     void startCold(TimePoint now);
 
-    /** Takes the sample of a request that was started at @p start and ended while @p othersInFlight ran. */
-    void record(const ServiceSample &sample, TimePoint start, int othersInFlight);
+    /** Takes the sample of a request that ended while @p othersInFlight ran. */
+    void record(const ServiceSample &sample, int othersInFlight);
 
     /** Closes a measurement window in which at most @p peakInFlight requests ran at a time. */
     void closeWindow(TimePoint now, int peakInFlight);
 
 private:
-    /** A back-off whose effect on the own service time is being measured. */
+    /** A back-off whose effect on the throughput is being measured. */
     struct Trial {
         double limitBefore;
-        double ownTimeBefore;
-        TimePoint settled; ///< Requests started earlier do not count.
-        TimePoint end; ///< The trial is given up if there are too few requests until then.
-        double sum = 0;
-        int count = 0;
+        double rateBefore; ///< Completed requests per ms.
+        TimePoint begin; ///< By then the requests from before the back-off have mostly ended.
+        TimePoint end; ///< The trial is judged then at the latest.
+        int completed = 0;
+        Millis measured{};
     };
 
     double lowest() const;
     double ceiling(TimePoint now) const;
-    void noteTrouble(double limit, TimePoint now);
     void backOffAfterShed(int othersInFlight);
-    void smoothOwnTime();
+    void smoothOwnTime(TimePoint now);
+    bool knowsOwnTime(TimePoint now) const;
     void learnBaseline(TimePoint now);
-    void resetBaseline(std::optional<double> ownTime);
+    void forgetOwnTime(TimePoint now);
     bool isSlow() const;
     void startTrial(TimePoint now);
     void judgeTrial(TimePoint now);
-    void raise(TimePoint now);
+    void raise();
 
     int slots_;
     double limit_;
+    double raiseShare_; ///< Part of the slots by which the next window raises the limit.
     std::optional<TimePoint> coldSince_;
-    // Own service time of the open window, and smoothed over the windows.
+    std::optional<double> limitBeforeShed_; ///< Set if the server shed load in the open window.
+    std::optional<Trial> trial_;
+    // Own service times in the open window, in ms.
+    TimePoint windowStart_;
     double windowSum_ = 0;
     int windowCount_ = 0;
+    // Smoothed own service time in ms and completed requests per ms.
     double ownTime_ = 0;
+    double rate_ = 0;
     int ownTimeSamples_ = 0;
-    // Limit before the first load shedding of the server in the open window.
-    std::optional<double> limitBeforeShed_;
+    TimePoint learningSince_;
     // Minimum of the smoothed own service time in this period and in the one before.
     std::optional<double> minimum_;
     std::optional<double> previousMinimum_;
     TimePoint periodStart_;
-    std::optional<Trial> trial_;
-    // Limit at the last back-off; above it the limit is raised with care.
-    double troubleLimit_ = 0;
-    TimePoint troubleAt_;
 };
 
 } // namespace Hibiscus
