HTTP server: report closed connections and apply the connection limit

Cause: a handler had no way to learn that its caller has given up, so work for a closed connection could not be cancelled; RESTinio stops to read while it waits for an answer. The setting maximumConnections was not passed on either. Ruled out: polling the socket from the handler, which has no access to it. Conclusion: HttpHandler::connectionClosed() gets the id that HttpRequest carries; the default does nothing.

--- a/src/http/httphandler.h
+++ b/src/http/httphandler.h
@@ -3,6 +3,7 @@
 
 #include "http/httpmessage.h"
 
+#include <cstdint>
 #include <functional>
 
 namespace Hibiscus
@@ -19,8 +20,16 @@
 
     /** Takes a whole request. Called by a worker; must not block. */
     virtual void handle(HttpRequest request, HttpResponder respond) = 0;
+
+    /** The connection with the id HttpRequest::connection has ended, also while a request of it is without an answer.
+     * Called by a worker; must not block. */
+    virtual void connectionClosed(std::uint64_t connection);
 };
 
+inline void HttpHandler::connectionClosed(std::uint64_t /*connection*/)
+{
+}
+
 } // namespace Hibiscus
 
 #endif
--- a/src/http/httpmessage.h
+++ b/src/http/httpmessage.h
@@ -1,6 +1,7 @@
 #ifndef HIBISCUS_HTTP_HTTPMESSAGE_H
 #define HIBISCUS_HTTP_HTTPMESSAGE_H
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -36,6 +37,7 @@
     std::string target;
     HttpHeaders headers;
     std::string body;
+    std::uint64_t connection = 0; ///< Connection by which an HttpServer received it, unique to that server.
 };
 
 struct HttpResponse {
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -3,6 +3,7 @@
 #include "http/endpoint.h"
 
 #include <chrono>
+#include <mutex>
 
 #include <restinio/all.hpp>
 
@@ -12,8 +13,44 @@
 namespace
 {
 
+/** Requests that may be in handling on one connection. With 1, RESTinio stops to read while a request is handled and
+ * doesn't notice that the other side has closed the connection. */
+constexpr std::size_t kPipelinedRequests = 2;
+
+/** Passes the end of a connection on to the handler. */
+class ConnectionListener
+{
+public:
+    explicit ConnectionListener(HttpHandler &handler)
+        : handler_(&handler)
+    {
+    }
+
+    void state_changed(const restinio::connection_state::notice_t &notice) noexcept // NOLINT: RESTinio's name
+    {
+        const std::lock_guard lock(mutex_);
+        if (handler_ != nullptr && restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause())) {
+            handler_->connectionClosed(notice.connection_id());
+        }
+    }
+
+    /** Connections may outlive the server, and then the handler. */
+    void detach()
+    {
+        const std::lock_guard lock(mutex_);
+        handler_ = nullptr;
+    }
+
+private:
+    std::mutex mutex_;
+    HttpHandler *handler_;
+};
+
 /** Refuses a message over the limits before its body is read. */
-using ServerTraits = restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>;
+struct ServerTraits : restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t> {
+    using connection_state_listener_t = ConnectionListener; // NOLINT: RESTinio's name
+    static constexpr bool use_connection_count_limiter = true; // NOLINT: RESTinio's name
+};
 using Server = restinio::http_server_t<ServerTraits>;
 
 std::chrono::milliseconds toChrono(Millis duration)
@@ -27,6 +64,7 @@
     request.method = source->header().method().c_str();
     request.target = source->header().request_target();
     request.body = source->body();
+    request.connection = source->connection_id();
     source->header().for_each_field(
         [&request](const auto &field) { request.headers.add(std::string(field.name()), std::string(field.value())); });
     return request;
@@ -54,12 +92,19 @@
         : context(ioContext)
         , settings(std::move(serverSettings))
         , handler(requestHandler)
+        , listener(std::make_shared<ConnectionListener>(requestHandler))
+    {
+    }
+
+    ~Private()
     {
+        listener->detach();
     }
 
     asio::io_context &context;
     HttpServerSettings settings;
     HttpHandler &handler;
+    std::shared_ptr<ConnectionListener> listener;
     std::unique_ptr<Server> server;
     HostAddress boundAddress;
 };
@@ -88,6 +133,9 @@
                 .incoming_http_msg_limits(limits)
                 .read_next_http_message_timelimit(toChrono(d->settings.idleTimeout))
                 .write_http_response_timelimit(toChrono(d->settings.idleTimeout))
+                .max_pipelined_requests(kPipelinedRequests)
+                .max_parallel_connections(d->settings.maximumConnections)
+                .connection_state_listener(d->listener)
                 .handle_request_timeout(toChrono(d->settings.requestTimeout))
                 .socket_options_setter([](auto &options) {
                     asio::ip::tcp::no_delay noDelay(true);
