Membership library: tables, leases, rounds, platform calls and the domain agent

A confirmation needs the same processes at both ends of the wait, not just a majority at its start: a process that is replaced during the wait could otherwise stand in for one that had adopted the version. It also needs a majority of the roster of the version confirmed last, which the confirm object records, because processes under that version renew their leases by its majority. Two roster changes before the first one is accepted are not covered and have to be refused by whoever writes the configuration.

Relays report only what changed since an acknowledged report: full responses of 150 members exceed 10 KB/s.

--- a/src/membership/controlmessages.h
+++ b/src/membership/controlmessages.h
@@ -22,6 +22,7 @@
     FailureDomainName domain;
     ConfigVersion version; ///< Adopted configuration.
     std::uint64_t viewVersion = 0; ///< Version of the sender's member table; only comparable for one incarnation.
+    std::uint64_t viewDigest = 0; ///< Equal digests: the tables hold the same records, so nothing has to be fetched.
 
     friend bool operator==(const Sender &, const Sender &) = default;
 };
@@ -57,7 +58,8 @@
     std::uint64_t knownRevision = 0; ///< Revision of the receiver's record in the sender's table.
     bool knownUp = true;
     std::optional<EchoedLease> lease;
-    std::vector<RelayTarget> relayTo;
+    std::uint64_t group = 0; ///< Group that the receiver shall relay to; 0 for none.
+    std::vector<RelayTarget> relayTo; ///< Members of the group; left out once the relay knows it.
 
     friend bool operator==(const Poll &, const Poll &) = default;
 };
@@ -71,17 +73,31 @@
     bool counts = false; ///< Fresh without a gap for L plus 10%: may count in a majority.
     Millis leaseRemaining; ///< 0 when not fresh.
     TimePoint sentAt; ///< Reading of the responder's clock, to be echoed.
+    bool groupUnknown = false; ///< The poll named a group without its members, and the responder doesn't have it.
     std::optional<MemberRecord> record; ///< Set when the poll showed that the poller's record is out of date.
 
     friend bool operator==(const PollResponse &, const PollResponse &) = default;
 };
 
+/**
+ * Responses that a relay collected in one round. Members whose state the agent already has from an acknowledged report
+ * are only listed by their index: full responses of 150 members would exceed the agent's 10 KB/s.
+ */
+struct RelayReport {
+    std::uint64_t group = 0;
+    std::uint64_t round = 0;
+    std::vector<std::uint32_t> unchanged; ///< Indices into the members of the group.
+    std::vector<PollResponse> changed;
+
+    friend bool operator==(const RelayReport &, const RelayReport &) = default;
+};
+
 /** Pushes records and entries; also the first message of a new process, and a relay's report. */
 struct Announce {
     Sender from;
     std::vector<MemberRecord> records;
     std::vector<PayloadEntry> entries;
-    std::vector<PollResponse> reports; ///< Responses that a relay collected for its agent.
+    std::optional<RelayReport> report;
 
     friend bool operator==(const Announce &, const Announce &) = default;
 };
--- a/src/membership/domainagent.h
+++ b/src/membership/domainagent.h
@@ -56,7 +56,10 @@
     /** Result of a platform call. Unknown ids are ignored. */
     Effects platformCompleted(PlatformCallId id, const PlatformResult &result);
 
-    /** The text of @p version was parsed and is in force in this process. */
+    /**
+     * The text of @p version was parsed and is in force in this process. Texts must be installed in the order in which
+     * they were given out; a text that is older than the one in force must not be installed.
+     */
     Effects configurationInstalled(ConfigVersion version, const Rosters &rosters);
 
     /** The text of @p version can't be used; the process stays at its version and loses its lease. */
--- a/src/membership/membershiplimits.h
+++ b/src/membership/membershiplimits.h
@@ -45,6 +45,12 @@
 inline constexpr Millis kHeadroomInterval{60000};
 /** Payload entries (crash reports) are kept and passed on for this long. */
 inline constexpr Millis kEntryLifetime{600000};
+/** Rosters of older versions that are remembered until they are confirmed. */
+inline constexpr std::size_t kMaxRosters = 16;
+/** Rounds whose responses are still accepted; older ones couldn't extend a lease by a useful time. */
+inline constexpr std::size_t kMaxRounds = 4;
+/** A platform call without a result after this time (a watch: after its own timeout) counts as unavailable. */
+inline constexpr Millis kPlatformCallTimeout{5000};
 /** Upper bound of payload entries in a table; the oldest are dropped first. */
 inline constexpr std::size_t kMaxEntries = 1024;
 
--- a/src/membership/membertable.h
+++ b/src/membership/membertable.h
@@ -36,6 +36,8 @@
     std::vector<MemberRecord> recordsOf(const FailureDomainName &domain) const;
 
     std::uint64_t version() const;
+    /** Hash of the records and entries that doesn't depend on the order in which they arrived. */
+    std::uint64_t digest() const;
     std::vector<MemberRecord> recordsSince(std::uint64_t version) const;
     std::vector<PayloadEntry> entriesSince(std::uint64_t version) const;
 
@@ -55,6 +57,7 @@
     std::map<ServerName, StoredRecord> records_;
     std::map<std::pair<std::string, std::string>, StoredEntry> entries_;
     std::uint64_t version_ = 0;
+    std::uint64_t digest_ = 0;
 };
 
 } // namespace Hibiscus
--- a/src/membership/ruleadoption.h
+++ b/src/membership/ruleadoption.h
@@ -28,8 +28,8 @@
 class RuleAdoption
 {
 public:
-    /** Roster of the adopted version. */
-    void setRoster(std::vector<ServerName> roster);
+    /** Roster of @p version, which this process has adopted. */
+    void setRoster(ConfigVersion version, std::vector<ServerName> roster);
 
     /**
      * Version that the domain confirmed last and its roster. A newer version also needs a majority of this roster, as
@@ -40,30 +40,31 @@
     /** Takes a response to a round that was sent at @p roundSentAt. */
     void report(const AdoptionReport &report, TimePoint roundSentAt, TimePoint now);
 
-    /** Forgets all observations, as when the agent was stopped or stands down. */
-    void reset();
-
-    /** Rule (b): whether the reports to one round, each not above @p version, hold a majority of the roster. */
-    bool majorityFresh(const std::vector<AdoptionReport> &round, ConfigVersion version) const;
+    /** Rule (b): whether the reports to one round, each not above the adopted version, hold a majority of its roster.
+     */
+    bool majorityFresh(const std::vector<AdoptionReport> &round) const;
 
-    /** Whether @p version may be confirmed now. */
-    bool confirmable(ConfigVersion version) const;
+    /** Highest version that may be confirmed now; none when there is nothing new to confirm. */
+    std::optional<ConfigVersion> confirmable() const;
 
     ConfigVersion confirmed() const;
+    /** Roster of @p version; empty when it was not adopted here or is below the confirmed version. */
+    std::vector<ServerName> rosterOf(ConfigVersion version) const;
+    /** Roster of the adopted version. */
     const std::vector<ServerName> &roster() const;
 
 private:
-    /** Adoption of one process: from the arrival of the first report to the sending of the last round it answered. */
+    /** Adoption of one process, from the first report of each version to the sending of the last round it answered. */
     struct Observation {
         Incarnation incarnation;
-        std::map<ConfigVersion, TimePoint> adoptedBy; ///< Arrival of the first report at this version or above.
-        ConfigVersion version;
+        std::map<ConfigVersion, TimePoint> adoptedBy; ///< Arrival of the first report at this version.
         TimePoint lastRound;
     };
 
     bool settledMajority(const std::vector<ServerName> &roster, ConfigVersion version) const;
+    bool settled(ConfigVersion version) const;
 
-    std::vector<ServerName> roster_;
+    std::map<ConfigVersion, std::vector<ServerName>> rosters_; ///< Adopted versions not below the confirmed one.
     ConfigVersion confirmed_;
     std::vector<ServerName> confirmedRoster_;
     std::map<ServerName, Observation> observations_;
