--- a/src/admission/concurrencylimit.cpp
+++ b/src/admission/concurrencylimit.cpp
@@ -26,16 +26,17 @@
 // Only a limit that was nearly reached can have caused overload.
 constexpr double kUsedShare = 0.75;
 constexpr double kTrialFactor = 0.7;
-// Halfway between the effect on the throughput of an overloaded server (1.0) and of any other (0.7).
-constexpr double kKeptThroughput = 0.85;
-// The standard error of a rate measured over this many requests is 7%.
-constexpr int kTrialSamples = 200;
+// Between the effect on the throughput of an overloaded server (1.0) and of any other (0.7), three standard errors off
+// the latter: a limit lowered in error costs throughput, one restored in error is tried again.
+constexpr double kKeptThroughput = 0.88;
+// The standard error of a rate measured over this many requests is 5%.
+constexpr int kTrialSamples = 400;
 constexpr int kLeastTrialSamples = 30;
-constexpr Millis kTrialSettling{100};
+constexpr Millis kTrialSettling{200};
 constexpr double kTrialSettlingOwnTimes = 2;
 // A single trial can fail by chance, and a new baseline hides an overload until the end of the period.
 constexpr int kFailuresToForget = 2;
-constexpr Millis kLongestTrial{3000};
+constexpr Millis kLongestMeasurement{3000};
 constexpr double kShedFactor = 0.7;
 // Shedding by a server with free slots must not stop all work.
 constexpr double kLowestShare = 0.25;
@@ -111,7 +112,8 @@
     } else if (learnBaseline(now); !isSlow()) {
         raise();
     } else if (peakInFlight >= kUsedShare * value()) {
-        startTrial(now);
+        trial_ = Trial{.limitBefore = limit_};
+        measureRate(now);
     }
     limit_ = std::clamp(limit_, lowest(), ceiling(now));
     windowStart_ = now;
@@ -146,12 +148,10 @@
     const double length = std::max((now - windowStart_).value, 1.0);
     const double count = windowCount_;
     if (windowCount_ > 0) {
-        const double mean = windowSum_ / count;
-        const double weight = ownTimeSamples_ == 0
-            ? 1
-            : std::min(count / (count + kSmoothingSamples), length / (length + kSmoothingOwnTimes * ownTime_));
-        ownTime_ += weight * (mean - ownTime_);
-        rate_ += weight * (count / length - rate_);
+        const double byCount = count / (count + kSmoothingSamples);
+        const double byLength = length / (length + kSmoothingOwnTimes * ownTime_);
+        const double weight = ownTimeSamples_ == 0 ? 1 : std::min(byCount, byLength);
+        ownTime_ += weight * (windowSum_ / count - ownTime_);
     }
     ownTimeSamples_ = std::min(ownTimeSamples_ + windowCount_, kLeastSamples);
     windowSum_ = 0;
@@ -190,11 +190,13 @@
     return minimum_ && ownTime_ > kSlowFactor * std::min(*minimum_, previousMinimum_.value_or(*minimum_));
 }
 
-void ConcurrencyLimit::startTrial(TimePoint now)
+void ConcurrencyLimit::measureRate(TimePoint now)
 {
-    const TimePoint begin = now + Millis{std::max(kTrialSettling.value, kTrialSettlingOwnTimes * ownTime_)};
-    trial_ = Trial{.limitBefore = limit_, .rateBefore = rate_, .begin = begin, .end = begin + kLongestTrial};
-    limit_ *= kTrialFactor;
+    // Until then the requests from before the last change mostly decide what completes.
+    trial_->begin = now + Millis{std::max(kTrialSettling.value, kTrialSettlingOwnTimes * ownTime_)};
+    trial_->end = trial_->begin + kLongestMeasurement;
+    trial_->completed = 0;
+    trial_->measured = {};
 }
 
 void ConcurrencyLimit::judgeTrial(TimePoint now)
@@ -202,8 +204,15 @@
     if (trial_->completed < kTrialSamples && now < trial_->end) {
         return;
     }
+    const bool enough = trial_->completed >= kLeastTrialSamples;
     const double rate = trial_->completed / std::max(trial_->measured.value, 1.0);
-    if (trial_->completed >= kLeastTrialSamples && rate >= kKeptThroughput * trial_->rateBefore) {
+    if (enough && !trial_->rateBefore) {
+        trial_->rateBefore = rate;
+        limit_ *= kTrialFactor;
+        measureRate(now);
+        return;
+    }
+    if (enough && rate >= kKeptThroughput * *trial_->rateBefore) {
         raiseShare_ = kFirstRaiseShare;
         failedTrials_ = 0;
     } else {
--- a/src/admission/concurrencylimit.h
+++ b/src/admission/concurrencylimit.h
@@ -38,12 +38,12 @@
     void closeWindow(TimePoint now, int peakInFlight);
 
 private:
-    /** A back-off whose effect on the throughput is being measured. */
+    /** Measures the throughput at the present limit and then at a lower one. */
     struct Trial {
-        double limitBefore;
-        double rateBefore; ///< Completed requests per ms.
-        TimePoint begin; ///< By then the requests from before the back-off have mostly ended.
-        TimePoint end; ///< The trial is judged then at the latest.
+        double limitBefore = 0;
+        std::optional<double> rateBefore{}; ///< Completed requests per ms.
+        TimePoint begin{}; ///< Of the measurement.
+        TimePoint end{}; ///< At the latest.
         int completed = 0;
         Millis measured{};
     };
@@ -56,7 +56,7 @@
     void learnBaseline(TimePoint now);
     void forgetOwnTime(TimePoint now);
     bool isSlow() const;
-    void startTrial(TimePoint now);
+    void measureRate(TimePoint now);
     void judgeTrial(TimePoint now);
     void raise();
 
@@ -71,9 +71,7 @@
     TimePoint windowStart_;
     double windowSum_ = 0;
     int windowCount_ = 0;
-    // Smoothed own service time in ms and completed requests per ms.
-    double ownTime_ = 0;
-    double rate_ = 0;
+    double ownTime_ = 0; ///< Smoothed, in ms.
     int ownTimeSamples_ = 0;
     TimePoint learningSince_;
     // Minimum of the smoothed own service time in this period and in the one before.
