--- /dev/null
+++ b/src/routing/autotests/balancertest.cpp
@@ -0,0 +1,283 @@
+#include "routing/balancer.h"
+#include "core/manualclock.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+#include <algorithm>
+
+using namespace Hibiscus;
+
+namespace
+{
+
+constexpr int kServers = 5; // Numbers 0 to 2 are in the balancer's own domain.
+
+ServerName nameOf(int number)
+{
+    return ServerName("s" + std::to_string(number));
+}
+
+ServerView viewOf(int number, std::uint64_t incarnation = 1, bool draining = false)
+{
+    return {nameOf(number), HostAddress(), Incarnation(incarnation), FailureDomainName(number < 3 ? "near" : "far"),
+            draining};
+}
+
+/** Oracle of one server. */
+struct ServerModel {
+    bool present = false, draining = false, ejected = false, probing = false;
+    std::uint64_t incarnation = 0;
+    int inFlight = 0, failures = 0, level = 0;
+    double levelAt = -1e9, backoff = 0, probeAt = 0;
+};
+
+struct Model {
+    std::array<ServerModel, kServers> servers;
+    double now = 0;
+};
+
+struct Fixture {
+    ManualClock clock;
+    SeededRandom random{7};
+    Balancer balancer{{ServerName("me"), FailureDomainName("near")}, clock, random};
+    std::vector<ServerView> views;
+
+    explicit Fixture(int servers = 0)
+    {
+        for (int i = 0; i < servers; ++i) {
+            views.push_back(viewOf(i));
+        }
+        balancer.update(views);
+    }
+
+    std::vector<int> picks(int count, Level level = {0})
+    {
+        std::vector<int> perServer(kServers);
+        for (int i = 0; i < count; ++i) {
+            if (const auto name = balancer.pick(level, {})) {
+                ++perServer.at(static_cast<std::size_t>(name->value().back() - '0'));
+            }
+        }
+        return perServer;
+    }
+
+    void attempt(int number, const AnswerHint &hint)
+    {
+        balancer.started(nameOf(number));
+        balancer.finished(nameOf(number), hint);
+    }
+};
+
+struct BalancerStep : rc::state::Command<Model, Fixture> {
+    int op = *rc::gen::inRange(0, 10);
+    int number = *rc::gen::inRange(0, kServers);
+    int value = *rc::gen::inRange(0, 1000);
+
+    void apply(Model &model) const override
+    {
+        ServerModel &server = model.servers.at(static_cast<std::size_t>(number));
+        if (op == 0) {
+            model.now += value * 3;
+        } else if (op <= 2) {
+            update(server);
+        } else if (op <= 4 && server.present) {
+            ++server.inFlight;
+            server.probing = server.ejected;
+        } else if (op <= 6 && server.inFlight > 0) {
+            --server.inFlight;
+            server.present ? finish(model, server) : void();
+        } else if (op == 7 && server.inFlight > 0) {
+            --server.inFlight;
+            server.present ? failConnect(model, server) : void();
+        }
+    }
+
+    void update(ServerModel &server) const
+    {
+        const bool present = value % 5 != 0;
+        const std::uint64_t incarnation =
+            static_cast<std::uint64_t>(value) % 11 == 0 ? server.incarnation + 1 : server.incarnation;
+        if (!present || !server.present || incarnation != server.incarnation) {
+            server = ServerModel{.inFlight = server.inFlight};
+        }
+        server.present = present;
+        server.draining = present && value % 4 == 0;
+        server.incarnation = incarnation;
+    }
+
+    void finish(const Model &model, ServerModel &server) const
+    {
+        server.level = value % 256;
+        server.levelAt = model.now;
+        if (value % 3 != 0) {
+            server.failures = 0;
+            server.ejected = server.probing = false;
+        } else if (server.probing) {
+            server.probing = false;
+            server.probeAt = model.now + server.backoff;
+        }
+    }
+
+    void failConnect(const Model &model, ServerModel &server) const
+    {
+        ++server.failures;
+        const bool ejectsNow = !server.ejected && server.failures >= 2;
+        if (!ejectsNow && !server.probing) {
+            return;
+        }
+        server.backoff = ejectsNow ? 500 : std::min(8000.0, server.backoff * 2);
+        server.ejected = true;
+        server.probing = false;
+        server.probeAt = model.now + server.backoff;
+    }
+
+    void run(const Model &before, Fixture &fixture) const override
+    {
+        Model model = before;
+        apply(model);
+        const ServerModel &server = before.servers.at(static_cast<std::size_t>(number));
+        if (op == 0) {
+            fixture.clock.advance({value * 3.0});
+        } else if (op <= 2) {
+            fixture.views.clear();
+            for (int i = 0; i < kServers; ++i) {
+                const ServerModel &one = model.servers.at(static_cast<std::size_t>(i));
+                if (one.present) {
+                    fixture.views.push_back(viewOf(i, one.incarnation, one.draining));
+                }
+            }
+            fixture.balancer.update(fixture.views);
+        } else if (op <= 4 && server.present) {
+            fixture.balancer.started(nameOf(number));
+        } else if (op <= 6 && server.inFlight > 0) {
+            fixture.balancer.finished(nameOf(number), {Level{value % 256}, value % 20, value % 3 != 0});
+        } else if (op == 7 && server.inFlight > 0) {
+            fixture.balancer.connectFailed(nameOf(number));
+        }
+        checkPick(model, fixture);
+    }
+
+    void checkPick(const Model &model, Fixture &fixture) const
+    {
+        const Level level{value % 256};
+        const std::vector<ServerName> exclude{nameOf(value % kServers)};
+        std::vector<ServerName> candidates;
+        bool shed = false;
+        for (int i = 0; i < kServers; ++i) {
+            const ServerModel &server = model.servers.at(static_cast<std::size_t>(i));
+            RC_ASSERT(fixture.balancer.inFlight(nameOf(i)) == server.inFlight);
+            RC_ASSERT(fixture.balancer.isEjected(nameOf(i)) == server.ejected);
+            const bool waits = server.ejected && (server.probing || model.now < server.probeAt);
+            if (!server.present || server.draining || waits || i == value % kServers) {
+                continue;
+            }
+            const bool sheds = model.now - server.levelAt < 2000 && level.value < server.level;
+            shed |= sheds;
+            if (!sheds) {
+                candidates.push_back(nameOf(i));
+            }
+        }
+        const auto picked = fixture.balancer.pick(level, exclude);
+        if (candidates.empty()) {
+            RC_ASSERT(picked.error() == (shed ? ErrorKind::Overloaded : ErrorKind::NoServer));
+        } else {
+            RC_ASSERT(std::count(candidates.begin(), candidates.end(), picked.value()) == 1);
+        }
+    }
+
+    void show(std::ostream &os) const override
+    {
+        os << "op " << op << " server " << number << " value " << value;
+    }
+};
+
+} // namespace
+
+TEST_CASE("Balancer: it picks exactly among the servers that may be tried")
+{
+    // Guards against work for a draining, ejected, shedding or excluded server, a second probe, and lost attempts.
+    CHECK(rc::check([] {
+        Fixture fixture;
+        rc::state::check(Model{}, fixture, rc::state::gen::execOneOfWithArgs<BalancerStep>());
+    }));
+}
+
+TEST_CASE("Balancer: back-off doubles from 0.5 s to 8 s, with one probe each time")
+{
+    // Guards against users' requests being spent on a dead server.
+    Fixture fixture(1);
+    for (int i = 0; i < 2; ++i) {
+        fixture.balancer.started(nameOf(0));
+        fixture.balancer.connectFailed(nameOf(0));
+    }
+    for (const double backoff : {500.0, 1000.0, 2000.0, 4000.0, 8000.0, 8000.0}) {
+        fixture.clock.advance(Millis{backoff - 1});
+        CHECK(fixture.picks(1)[0] == 0);
+        fixture.clock.advance(Millis{1});
+        CHECK(fixture.picks(1)[0] == 1);
+        fixture.balancer.started(nameOf(0));
+        CHECK(fixture.picks(1)[0] == 0);
+        fixture.balancer.connectFailed(nameOf(0));
+    }
+}
+
+TEST_CASE("Balancer: power of two choices on attempts in flight and on fresh headroom")
+{
+    // Guards against a loaded server being picked before an idle one, and against old headroom.
+    Fixture fixture(2);
+    for (int i = 0; i < 3; ++i) {
+        fixture.balancer.started(nameOf(0));
+    }
+    CHECK(fixture.picks(50)[1] == 50);
+    fixture.attempt(0, {.level = {}, .headroom = 100});
+    fixture.attempt(1, {.level = {}, .headroom = 5});
+    CHECK(fixture.picks(50)[0] == 50);
+    fixture.clock.advance(Millis{2000});
+    CHECK(fixture.picks(50)[1] == 50);
+}
+
+TEST_CASE("Balancer: a far server is used when the near ones are worse or shed the level")
+{
+    // Guards against needless hops, and against refusing what another domain could do.
+    Fixture fixture(4);
+    CHECK(fixture.picks(100)[3] == 0);
+    for (int i = 0; i < 3; ++i) {
+        fixture.attempt(i, {.level = levelOf(1, 0), .headroom = {}});
+    }
+    CHECK(fixture.picks(10, levelOf(0, 5))[3] == 10);
+    CHECK(fixture.balancer.admittedLevel() == Level{0});
+    for (int i = 0; i < 12; ++i) {
+        fixture.balancer.started(nameOf(i % 3));
+    }
+    CHECK(fixture.picks(10, levelOf(1, 5))[3] == 10);
+}
+
+TEST_CASE("Balancer: the share of a new server and of a new incarnation grows over 10 s")
+{
+    // Guards against a cold server that gets a full share at once.
+    for (const bool restarted : {false, true}) {
+        Fixture fixture(restarted ? 2 : 1);
+        fixture.clock.advance(Millis{20000});
+        fixture.views = {viewOf(0), viewOf(1, 2)};
+        fixture.balancer.update(fixture.views);
+        int before = 0;
+        for (const double elapsed : {1000.0, 4000.0, 5000.0}) {
+            fixture.clock.advance(Millis{elapsed});
+            int share = 0;
+            for (int i = 0; i < 110; ++i) {
+                const ServerName name = *fixture.balancer.pick({0}, {});
+                share += name == nameOf(1) ? 1 : 0;
+                fixture.balancer.started(name);
+            }
+            CHECK(share > before);
+            before = share;
+            for (int i = 0; i < 110; ++i) {
+                fixture.balancer.finished(nameOf(i < share ? 1 : 0), {});
+            }
+        }
+        CHECK(before >= 54);
+        CHECK(before <= 56);
+    }
+}
