ctl: commands of hibiscusctl against the object store and the daemons

Cause: operators change the configuration concurrently, over a platform that loses answers and a deployment that can be partitioned, and nothing that they wrote may be lost. Ruled out: applying files on whatever version the platform holds, which undoes changes that their author hasn't seen (--base names the version they were compared with); taking a lost answer for either outcome (the same conditional write is repeated until it is answered, then the change id decides); cutting audit entries off the object when it is full (they are archived before). Before: nothing. After: check, diff, apply, status, drain and history as classes with injected store, clock, pause and progress.

--- /dev/null
+++ b/src/ctl/autotests/daemoncommandstest.cpp
@@ -0,0 +1,115 @@
+#include "ctl/autotests/testsupport.h"
+#include "ctl/draincommand.h"
+#include "ctl/statuscommand.h"
+
+#include <deque>
+
+#include <doctest/doctest.h>
+
+using namespace Hibiscus;
+
+namespace
+{
+
+/** Daemon whose answers are played from a list; the last one is repeated. An empty text is a lost answer. */
+class ScriptedDaemon : public DaemonClient
+{
+public:
+    std::deque<std::string> statuses;
+    bool refuses = false;
+    int drains = 0;
+
+    tl::expected<std::string, DaemonError> status(const HostAddress &) override
+    {
+        const std::string text = statuses.front();
+        if (statuses.size() > 1) {
+            statuses.pop_front();
+        }
+        if (text.empty()) {
+            return tl::unexpected(DaemonError{false, "no answer"});
+        }
+        return text;
+    }
+
+    tl::expected<void, DaemonError> drain(const HostAddress &) override
+    {
+        ++drains;
+        if (refuses) {
+            return tl::unexpected(DaemonError{true, "status 403"});
+        }
+        return {};
+    }
+};
+
+std::string status(bool draining, int inFlight, const std::string &server = "desk-1")
+{
+    return R"({"server": ")" + server + R"(", "domain": "a", "draining": )" + (draining ? "true" : "false")
+        + R"(, "inFlight": )" + std::to_string(inFlight) + R"(, "configVersion": 3, "level": 0})";
+}
+
+const HostAddress kDaemon("127.0.0.1:8100");
+
+} // namespace
+
+TEST_CASE("drain: success means that no request was in flight while the daemon was draining")
+{
+    // Guards against a host that is taken away under running requests.
+    struct Case {
+        std::deque<std::string> statuses;
+        bool refuses;
+        ExitCode code;
+        int drains;
+    };
+    const std::string idle = status(false, 0);
+    for (const Case &c : {
+             Case{{idle, idle, status(true, 2), status(true, 1), status(true, 0)}, false, ExitCode::Success, 1},
+             Case{{idle, idle, idle, status(true, 0)}, false, ExitCode::Success, 2},
+             Case{{idle, idle, status(true, 2), "", status(true, 0)}, false, ExitCode::Success, 1},
+             Case{{idle, idle, status(true, 2), ""}, false, ExitCode::Unknown, 1},
+             Case{{idle, idle, status(true, 2)}, false, ExitCode::Pending, 1},
+             Case{{idle, ""}, false, ExitCode::Unavailable, 0},
+             Case{{""}, false, ExitCode::Unavailable, 0},
+             Case{{"{}"}, false, ExitCode::Invalid, 0},
+             Case{{status(false, 0, "desk-2")}, false, ExitCode::Usage, 0},
+         }) {
+        Bench bench;
+        ScriptedDaemon daemon;
+        daemon.statuses = c.statuses;
+        const CommandResult result =
+            DrainCommand(daemon, bench.waiting).run(ServerName("desk-1"), kDaemon, Millis{60'000});
+        CAPTURE(textOf(result));
+        CHECK(result.code == c.code);
+        CHECK(daemon.drains == c.drains);
+    }
+    Bench bench;
+    ScriptedDaemon daemon;
+    daemon.statuses = {idle};
+    daemon.refuses = true;
+    CHECK(DrainCommand(daemon, bench.waiting).run(ServerName("desk-1"), kDaemon, Millis{1000}).code
+          == ExitCode::Invalid);
+}
+
+TEST_CASE("status: pending domains and silent daemons show in the exit code")
+{
+    // Guards against a script that takes a change for accepted or a daemon for healthy.
+    Bench bench;
+    CHECK(StatusCommand::runPlatform(bench.store).details.contains("message"));
+    ApplyRequest request = exampleRequest(10, {});
+    request.timeout = Millis{0};
+    ApplyCommand(bench.store, bench.waiting).run(request);
+    bench.confirm("a", 1);
+    const CommandResult pending = StatusCommand::runPlatform(bench.store);
+    CHECK(pending.code == ExitCode::Pending);
+    bench.confirm("b", 1);
+    CHECK(StatusCommand::runPlatform(bench.store).code == ExitCode::Success);
+    ScriptedDaemon daemon;
+    daemon.statuses = {status(true, 4), ""};
+    const CommandResult daemons = StatusCommand::runDaemons(daemon, {kDaemon, kDaemon});
+    CHECK(daemons.code == ExitCode::Unavailable);
+    CHECK(daemons.lines.at(0).find("version 3, 4 in flight, draining") != std::string::npos);
+    const CommandResult both = StatusCommand::merge(pending, daemons);
+    CHECK(both.code == ExitCode::Unavailable);
+    CHECK(both.details["daemons"][0]["status"]["level"] == 0);
+    bench.store.setFaults({true, {}, 0});
+    CHECK(StatusCommand::runPlatform(bench.store).code == ExitCode::Unavailable);
+}
--- /dev/null
+++ b/src/ctl/historycommand.h
@@ -0,0 +1,32 @@
+#ifndef HIBISCUS_CTL_HISTORYCOMMAND_H
+#define HIBISCUS_CTL_HISTORYCOMMAND_H
+
+#include "ctl/commandresult.h"
+#include "platform/objectstore.h"
+
+#include <cstddef>
+#include <string>
+
+namespace Hibiscus
+{
+
+struct HistoryRequest {
+    std::size_t limit = 0; ///< Versions to look at, from the newest on.
+    std::string changeId; ///< Shows only this change, with its whole summary; empty shows all.
+};
+
+/** Shows who changed the configuration, when and how. */
+class HistoryCommand
+{
+public:
+    explicit HistoryCommand(ObjectStore &store);
+
+    CommandResult run(const HistoryRequest &request);
+
+private:
+    ObjectStore &store_;
+};
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/src/ctl/progress.h
@@ -0,0 +1,19 @@
+#ifndef HIBISCUS_CTL_PROGRESS_H
+#define HIBISCUS_CTL_PROGRESS_H
+
+#include <string>
+
+namespace Hibiscus
+{
+
+/** Receives lines about the progress of a command that waits. */
+class Progress
+{
+public:
+    virtual ~Progress() = default;
+    virtual void report(const std::string &line) = 0;
+};
+
+} // namespace Hibiscus
+
+#endif
