--- a/src/config/autotests/configurationtest.cpp
+++ b/src/config/autotests/configurationtest.cpp
@@ -87,7 +87,7 @@
     const std::vector<std::string> expected{
         "~ server raft-catalogue-1: slots 140 -> 150",
         "- server raft-catalogue-2: service raft-catalogue, domain akan-b, slots 140, connections 900",
-        "~ class browsing: deadline 2000 ms -> 3000 ms",
+        "~ class browsing: deadline 2 s -> 3 s",
         "~ class order: deposits > bookings > waivers > browsing -> deposits > waivers > bookings > browsing",
         "~ route lake-board GET /: class browsing -> waivers",
         "~ default class: bookings -> browsing",
--- a/src/config/valueformat.cpp
+++ b/src/config/valueformat.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 #include <arpa/inet.h>
@@ -85,9 +86,12 @@
 
 std::string formatDuration(Millis duration)
 {
+    constexpr double kMillisPerSecond = 1000;
+    const bool wholeSeconds = duration.value > 0 && std::fmod(duration.value, kMillisPerSecond) == 0;
+    const double number = wholeSeconds ? duration.value / kMillisPerSecond : duration.value;
     std::array<char, kDoubleBytes> buffer{};
-    const auto end = std::to_chars(buffer.data(), buffer.data() + buffer.size(), duration.value).ptr;
-    return std::string(buffer.data(), end) + " ms";
+    const auto end = std::to_chars(buffer.data(), buffer.data() + buffer.size(), number).ptr;
+    return std::string(buffer.data(), end) + (wholeSeconds ? " s" : " ms");
 }
 
 std::optional<AddressParts> parseAddress(std::string_view text)
--- a/src/ctl/applycommand.cpp
+++ b/src/ctl/applycommand.cpp
@@ -88,7 +88,9 @@
     const TimePoint deadline = waiting_.clock.now() + request.timeout;
     const auto loaded = ConfigurationStore(store_).load();
     if (!loaded) {
-        return loaded.error();
+        CommandResult result = loaded.error();
+        result.lines.emplace_back("nothing was written");
+        return result;
     }
     const Configuration current = loaded->value_or(Configuration{});
     const std::vector<std::string> changes =
--- /dev/null
+++ b/src/ctl/autotests/httpdaemonclienttest.cpp
@@ -0,0 +1,30 @@
+#include "ctl/httpdaemonclient.h"
+
+#include <thread>
+
+#include <doctest/doctest.h>
+#include <httplib.h>
+
+using namespace Hibiscus;
+
+TEST_CASE("HttpDaemonClient: an error status, a lost answer and a closed port are told apart")
+{
+    // Guards against a drain that is taken for refused though it may have begun.
+    httplib::Server server;
+    server.Get("/status", [](const httplib::Request &, httplib::Response &response) {
+        response.set_content("{}", "application/json");
+    });
+    server.Post("/drain", [](const httplib::Request &, httplib::Response &response) { response.status = 403; });
+    const int port = server.bind_to_any_port("127.0.0.1");
+    REQUIRE(port > 0);
+    std::thread thread([&server] { server.listen_after_bind(); });
+    const HostAddress address("127.0.0.1:" + std::to_string(port));
+    HttpDaemonClient client;
+    CHECK(client.status(address).value() == "{}");
+    CHECK(client.drain(address).error().answered);
+    server.stop();
+    thread.join();
+    CHECK_FALSE(client.status(address).error().answered);
+    CHECK_FALSE(client.drain(address).error().answered);
+    CHECK_FALSE(client.status(HostAddress("nowhere")).error().answered);
+}
--- a/src/ctl/configurationstore.cpp
+++ b/src/ctl/configurationstore.cpp
@@ -28,7 +28,7 @@
         if (stored.error() == StoreError::NotFound) {
             return std::nullopt;
         }
-        return tl::unexpected(failure(ExitCode::Unavailable, "the platform does not answer; nothing was written"));
+        return tl::unexpected(failure(ExitCode::Unavailable, "the platform does not answer"));
     }
     auto configuration = parseConfiguration(stored->value);
     if (!configuration) {
