--- /dev/null
+++ b/src/daemon/autotests/callscopetabletest.cpp
@@ -0,0 +1,117 @@
+#include "daemon/callscopetable.h"
+
+#include "core/manualclock.h"
+
+#include <doctest/doctest.h>
+
+using namespace Hibiscus;
+
+namespace
+{
+
+constexpr int kPeak = 1000;
+const AttemptId kAttempt(7);
+
+CallScopeTable tableWithScope(const ManualClock &clock, int allowance)
+{
+    CallScopeTable table(clock);
+    table.open(kAttempt, {RootContext{}, "", TimePoint{9000}, AttemptAllowance(allowance)});
+    return table;
+}
+
+CallAnswer completed(int spent)
+{
+    CallAnswer answer;
+    answer.response = HttpResponse{200, {}, ""};
+    answer.spent = spent;
+    return answer;
+}
+
+CallAnswer failed(ErrorKind kind)
+{
+    CallAnswer answer;
+    answer.response = tl::unexpected(kind);
+    return answer;
+}
+
+} // namespace
+
+TEST_CASE("CallScopeTable: a resend by the backend server keeps the name of its call")
+{
+    // Guards against a non-repeatable call that runs twice because the server sent it again after an unknown outcome.
+    struct KeyCase {
+        const char *name;
+        bool isExplicit;
+        CallAnswer first;
+        bool sameName;
+    };
+    const KeyCase cases[] = {
+        {"derived key, outcome unknown", false, failed(ErrorKind::ConnectionLost), true},
+        {"derived key, not run", false, failed(ErrorKind::Overloaded), true},
+        {"derived key, completed", false, completed(1), false},
+        {"explicit key, completed", true, completed(1), true},
+        {"explicit key, outcome unknown", true, failed(ErrorKind::ConnectionLost), true},
+    };
+    for (const KeyCase &testCase : cases) {
+        CAPTURE(testCase.name);
+        const ManualClock clock;
+        CallScopeTable table = tableWithScope(clock, 32);
+        const ChildKey key{"k", testCase.isExplicit};
+        const auto first = table.beginChild(kAttempt, key, kPeak);
+        REQUIRE(first.has_value());
+        table.endChild(kAttempt, *first, testCase.first, false);
+        const auto second = table.beginChild(kAttempt, key, kPeak);
+        REQUIRE(second.has_value());
+        CHECK((first->callPath == second->callPath) == testCase.sameName);
+    }
+}
+
+TEST_CASE("CallScopeTable: the calls below an attempt stay within its allowance")
+{
+    // Guards against an allowance that grows with depth or fan-out.
+    const ManualClock clock;
+    CallScopeTable table = tableWithScope(clock, 10);
+    int granted = 0;
+    for (int i = 0; i < 20; ++i) {
+        const auto child = table.beginChild(kAttempt, {std::to_string(i), false}, kPeak);
+        REQUIRE(child.has_value());
+        granted += child->granted;
+        table.endChild(kAttempt, *child, failed(ErrorKind::ConnectionLost), true);
+    }
+    CHECK(granted == 10);
+    CHECK(table.close(kAttempt).spent == 10);
+}
+
+TEST_CASE("CallScopeTable: time spent waiting for calls is not counted twice")
+{
+    // Guards against own service time that comes out too small when calls run in parallel.
+    ManualClock clock;
+    CallScopeTable table = tableWithScope(clock, 32);
+    const auto first = table.beginChild(kAttempt, {"a", false}, 1);
+    clock.advance({10});
+    const auto second = table.beginChild(kAttempt, {"b", false}, 1);
+    clock.advance({10});
+    table.endChild(kAttempt, *first, completed(1), true);
+    clock.advance({10});
+    table.endChild(kAttempt, *second, completed(1), true);
+    clock.advance({10});
+    const ScopeSummary summary = table.close(kAttempt);
+    CHECK(summary.waitingForChildren == Millis{30});
+    CHECK_FALSE(summary.nonRepeatableMayHaveRun);
+}
+
+TEST_CASE("CallScopeTable: what may have run below is remembered")
+{
+    // Guards against "not run" for a request below which a non-repeatable call may have run.
+    const ManualClock clock;
+    CallScopeTable outstanding = tableWithScope(clock, 32);
+    REQUIRE(outstanding.beginChild(kAttempt, {"a", false}, 1).has_value());
+    CHECK(outstanding.close(kAttempt).nonRepeatableMayHaveRun);
+
+    CallScopeTable unknown = tableWithScope(clock, 32);
+    const auto child = unknown.beginChild(kAttempt, {"a", false}, 1);
+    unknown.endChild(kAttempt, *child, failed(ErrorKind::DeadlineExceeded), false);
+    CHECK(unknown.close(kAttempt).nonRepeatableMayHaveRun);
+
+    CHECK_FALSE(unknown.beginChild(kAttempt, {"b", false}, 1).has_value());
+}
