Test execution against an oracle of true runs; check the addressed incarnation

The property test found two faults of the attempt table. A second copy of a begin message that reached the restarted executor ran again, because the new process knew neither the attempt nor its fence. And an entry daemon that was paused until the record had expired was told that its attempt had never been seen, and reported a false "not run".

begin() now takes the incarnation that the attempt was sent to, as query() does, and refuses another one. believed() turns a NotRun report that arrives 90 s or more after the dispatch into Unknown. A watermark of expired attempts per entry daemon was ruled out: it needs structured attempt ids and memory per sender, while the sender can tell the age of its own attempt.

--- /dev/null
+++ b/src/core/autotests/operationproperty.h
@@ -0,0 +1,64 @@
+#ifndef HIBISCUS_CORE_AUTOTESTS_OPERATIONPROPERTY_H
+#define HIBISCUS_CORE_AUTOTESTS_OPERATIONPROPERTY_H
+
+#include <ostream>
+#include <string>
+
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+namespace Hibiscus
+{
+
+/** Random operation; the system under test gives the numbers their meaning. */
+struct Operation {
+    unsigned kind;
+    unsigned a;
+    unsigned b;
+    unsigned c;
+};
+
+struct NoModel {
+};
+
+/** Runs one operation on a system that contains its oracle: void step(Operation), kinds 0 to System::kKinds - 1. */
+template<class System>
+class OperationCommand : public rc::state::Command<NoModel, System>
+{
+public:
+    OperationCommand()
+        : operation_{*rc::gen::inRange(0U, System::kKinds), *rc::gen::inRange(0U, 60U), *rc::gen::inRange(0U, 60U),
+                     *rc::gen::inRange(0U, 60U)}
+    {
+    }
+
+    void run(const NoModel &, System &system) const override
+    {
+        system.step(operation_);
+    }
+
+    void show(std::ostream &os) const override
+    {
+        os << operation_.kind << '(' << operation_.a << ", " << operation_.b << ", " << operation_.c << ')';
+    }
+
+private:
+    Operation operation_;
+};
+
+/** Checks random sequences of operations, each on a new @p System. */
+template<class System>
+bool checkOperations(const std::string &description)
+{
+    return rc::check(description, [] {
+        // Up to 3,000 operations; with the default size of 100 or less a sequence seldom reaches a second resend.
+        const auto commands = *rc::gen::resize(
+            3000, rc::state::gen::commands(NoModel(), rc::state::gen::execOneOfWithArgs<OperationCommand<System>>()));
+        System system;
+        rc::state::runAll(commands, NoModel(), system);
+    });
+}
+
+} // namespace Hibiscus
+
+#endif
--- a/src/execution/attempttable.cpp
+++ b/src/execution/attempttable.cpp
@@ -5,6 +5,14 @@
 namespace Hibiscus
 {
 
+OutcomeReport believed(const OutcomeReport &report, Millis sinceDispatch)
+{
+    if (report.outcome == AttemptOutcome::NotRun && sinceDispatch >= AttemptTable::kReportValidity) {
+        return {AttemptOutcome::Unknown, nullptr};
+    }
+    return report;
+}
+
 AttemptTable::AttemptTable(Incarnation incarnation, const Clock &clock, const AttemptLimits &limits)
     : incarnation_(incarnation)
     , clock_(clock)
@@ -13,8 +21,11 @@
 {
 }
 
-BeginResult AttemptTable::begin(AttemptId attempt, bool keepAnswer)
+BeginResult AttemptTable::begin(AttemptId attempt, Incarnation incarnation, bool keepAnswer)
 {
+    if (incarnation != incarnation_) {
+        return BeginResult::OtherIncarnation;
+    }
     if (const auto found = records_.find(attempt); found != records_.end()) {
         return found->second.outcome == AttemptOutcome::NotRun ? BeginResult::Fenced : BeginResult::AlreadyBegun;
     }
--- a/src/execution/attempttable.h
+++ b/src/execution/attempttable.h
@@ -19,6 +19,11 @@
     AlreadyBegun, ///< Late copy of a message: do nothing, the first copy answers.
     Fenced, ///< Promised never to run: answer as not run.
     Full, ///< Memory bound reached, fenced: answer as not run.
+    /**
+     * Addressed to a predecessor of this process: this copy does not run. Where it was the only copy, as on a TCP
+     * connection, the attempt did not run; otherwise its outcome is unknown.
+     */
+    OtherIncarnation,
     FullUnfenced, ///< Memory bound reached and no room for a fence: not run now, but a late copy could still begin.
 };
 
@@ -36,6 +41,14 @@
     StoredAnswerPtr answer; ///< Set if Completed.
 };
 
+/**
+ * What the sender of an attempt may conclude from a report. @p sinceDispatch is the time from the dispatch of the
+ * attempt to the arrival of the report, on a plain monotonic clock of the sender. A sender that was paused may ask, or
+ * read the answer, after the record of the attempt has expired; "never seen" then says nothing, so a NotRun that is
+ * older than AttemptTable::kReportValidity counts as Unknown.
+ */
+OutcomeReport believed(const OutcomeReport &report, Millis sinceDispatch);
+
 /** Bounds of the memory of an attempt table. */
 struct AttemptLimits {
     std::size_t records = 60'000; ///< Attempts that were begun.
@@ -56,12 +69,18 @@
     static constexpr Millis kLifetime{10.0 * 60 * 1000};
     /** Twice the idle timeout of peer connections (60 s); the full lifetime would take 5 times the memory. */
     static constexpr Millis kRepeatableLifetime{2.0 * 60 * 1000};
+    /** Below both lifetimes, with a margin for clocks that run at different rates. */
+    static constexpr Millis kReportValidity{90.0 * 1000};
 
     /** @p clock is a plain monotonic clock and must outlive this object. */
     AttemptTable(Incarnation incarnation, const Clock &clock, const AttemptLimits &limits = {});
 
-    /** Registers an attempt before it is queued or dispatched. @p keepAnswer is set for at-most-once requests. */
-    BeginResult begin(AttemptId attempt, bool keepAnswer);
+    /**
+     * Registers an attempt that was sent to the process of @p incarnation, before it is queued or dispatched.
+     * @p keepAnswer is set for at-most-once requests. The incarnation is checked because a restarted process knows
+     * neither the attempts nor the fences of its predecessor.
+     */
+    BeginResult begin(AttemptId attempt, Incarnation incarnation, bool keepAnswer);
 
     /** Settles a running attempt with the complete response; false if it is not running. */
     bool complete(AttemptId attempt, StoredAnswer answer);
