--- a/src/core/autotests/operationproperty.h
+++ b/src/core/autotests/operationproperty.h
@@ -46,14 +46,14 @@
     Operation operation_;
 };
 
-/** Checks random sequences of operations, each on a new @p System. */
+/** Checks random sequences of up to @p length operations, each on a new @p System. */
 template<class System>
-bool checkOperations(const std::string &description)
+bool checkOperations(const std::string &description, int length)
 {
-    return rc::check(description, [] {
-        // Up to 3,000 operations; with the default size of 100 or less a sequence seldom reaches a second resend.
+    return rc::check(description, [length] {
+        // RapidCheck takes the length from the size, which is 100 or less by default.
         const auto commands = *rc::gen::resize(
-            3000, rc::state::gen::commands(NoModel(), rc::state::gen::execOneOfWithArgs<OperationCommand<System>>()));
+            length, rc::state::gen::commands(NoModel(), rc::state::gen::execOneOfWithArgs<OperationCommand<System>>()));
         System system;
         rc::state::runAll(commands, NoModel(), system);
     });
--- /dev/null
+++ b/src/quarantine/autotests/crashledgertest.cpp
@@ -0,0 +1,263 @@
+#include "quarantine/crashledger.h"
+
+#include "core/autotests/operationproperty.h"
+#include "core/manualclock.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+#include <map>
+#include <memory>
+#include <set>
+
+#include <doctest/doctest.h>
+
+using namespace Hibiscus;
+
+namespace
+{
+
+constexpr unsigned kSignatures = 4;
+constexpr unsigned kLedgers = 3;
+constexpr auto kAll = std::numeric_limits<std::size_t>::max();
+
+struct Totals {
+    int quarantined = 0, cleared = 0, lateCopies = 0;
+} totals;
+
+/**
+ * Three daemons that see crashes and completions, pause, restart, and exchange copies that arrive late, twice and by
+ * detours. The oracle is a flat set of facts per daemon.
+ */
+class Deployment
+{
+public:
+    static constexpr unsigned kKinds = 12;
+
+    void step(const Operation &op)
+    {
+        const unsigned at = op.a % kLedgers;
+        const Signature signature(op.b % kSignatures);
+        if (op.kind <= 1) {
+            crash(at, {signature, Signature(op.c % kSignatures)});
+        } else if (op.kind == 2) {
+            const bool isSuspect = views_[at].complete(signature);
+            RC_ASSERT(ledgers_[at]->completed(signature) == isSuspect);
+            totals.cleared += isSuspect ? 1 : 0;
+        } else if (op.kind <= 5) {
+            mail_.push_back({ledgers_[at]->exportReports(0, kAll).reports, views_[at], clock_.now()});
+        } else if (op.kind <= 9 && !mail_.empty()) {
+            const Mail &copy = mail_.at(op.b % mail_.size());
+            ledgers_[at]->merge(copy.reports);
+            views_[at].merge(copy.view, clock_.now() - copy.sentAt, clock_.now());
+        } else if (op.kind == 10) {
+            pass(Millis{std::array<double, 4>{1, 9.5, 10, 31}.at(op.b % 4) * 60 * 1000});
+        } else if (op.kind == 11 && op.b % 8 == 0) {
+            ledgers_[at] = std::make_unique<CrashLedger>(clock_);
+            views_[at] = {};
+            reporters_[at] = ++lastReporter_;
+        } else if (op.kind == 11) {
+            synchronize();
+        }
+        checkAll();
+    }
+
+private:
+    struct Fact {
+        TimePoint crashedAt;
+        std::map<Signature, bool> cleared;
+    };
+
+    /** What a daemon has heard of. */
+    struct View {
+        std::map<CrashReportId, Fact> facts;
+        std::map<Incarnation, std::uint64_t> forgotten;
+
+        bool complete(Signature signature)
+        {
+            bool isSuspect = false;
+            for (auto &[id, fact] : facts) {
+                const auto entry = fact.cleared.find(signature);
+                if (entry != fact.cleared.end()) {
+                    isSuspect = isSuspect || !entry->second;
+                    entry->second = true;
+                }
+            }
+            return isSuspect;
+        }
+        void merge(const View &other, Millis delay, TimePoint now)
+        {
+            for (const auto &[id, theirs] : other.facts) {
+                const TimePoint crashedAt = theirs.crashedAt + delay;
+                const auto upTo = forgotten.find(id.reporter);
+                if (upTo != forgotten.end() && id.sequence <= upTo->second) {
+                    ++totals.lateCopies;
+                } else if (now - crashedAt < CrashLedger::kReportLifetime) {
+                    Fact &fact = facts.try_emplace(id, Fact{crashedAt, {}}).first->second;
+                    fact.crashedAt = std::min(fact.crashedAt, crashedAt);
+                    for (const auto &[signature, isCleared] : theirs.cleared) {
+                        fact.cleared[signature] = fact.cleared[signature] || isCleared;
+                    }
+                }
+            }
+        }
+        void expire(TimePoint now)
+        {
+            for (const auto &[id, fact] : facts) {
+                if (now - fact.crashedAt >= CrashLedger::kReportLifetime) {
+                    forgotten[id.reporter] = std::max(forgotten[id.reporter], id.sequence);
+                }
+            }
+            std::erase_if(facts, [this](const auto &item) {
+                const auto upTo = forgotten.find(item.first.reporter);
+                return upTo != forgotten.end() && item.first.sequence <= upTo->second;
+            });
+        }
+        Verdict check(Signature signature, TimePoint now) const
+        {
+            std::size_t crashes = 0;
+            TimePoint latest{-1e18};
+            for (const auto &[id, fact] : facts) {
+                if (fact.cleared.contains(signature) && !fact.cleared.at(signature)) {
+                    ++crashes;
+                    latest = std::max(latest, fact.crashedAt);
+                }
+            }
+            return crashes >= 3 && now - latest < CrashLedger::kQuarantine ? Verdict::Quarantined
+                : crashes > 0                                              ? Verdict::Suspect
+                                                                           : Verdict::Clear;
+        }
+    };
+
+    struct Mail {
+        std::vector<CrashReport> reports;
+        View view;
+        TimePoint sentAt;
+    };
+
+    void crash(unsigned at, const std::vector<Signature> &inFlight)
+    {
+        const CrashReportId id{Incarnation(reporters_[at]), ++sequences_[reporters_[at]]};
+        ledgers_[at]->crashed(inFlight, id);
+        ledgers_[at]->crashed(inFlight, id);
+        Fact &fact = views_[at].facts.try_emplace(id, Fact{clock_.now(), {}}).first->second;
+        for (const Signature &signature : inFlight) {
+            fact.cleared.try_emplace(signature, false);
+        }
+    }
+
+    void pass(Millis duration)
+    {
+        clock_.advance(duration);
+        for (unsigned i = 0; i < kLedgers; ++i) {
+            ledgers_[i]->tick();
+            views_[i].expire(clock_.now());
+        }
+    }
+
+    /** Exchanges small differences until nobody has anything new, after which all verdicts agree. */
+    void synchronize()
+    {
+        std::map<std::pair<unsigned, unsigned>, std::uint64_t> revisions;
+        for (bool isQuiet = false; !isQuiet;) {
+            isQuiet = true;
+            for (unsigned pair = 0; pair < kLedgers * kLedgers; ++pair) {
+                const unsigned from = pair / kLedgers;
+                const unsigned to = pair % kLedgers;
+                std::uint64_t &revision = revisions[{from, to}];
+                const CrashDifference news = ledgers_[from]->exportReports(revision, 3);
+                RC_ASSERT(news.reports.size() <= 3U);
+                RC_ASSERT(news.complete || news.revision > revision);
+                revision = news.revision;
+                ledgers_[to]->merge(news.reports);
+                isQuiet = isQuiet && news.reports.empty();
+            }
+        }
+        for (unsigned i = 0; i < 2 * kLedgers * kLedgers; ++i) {
+            views_[i % kLedgers].merge(views_[i / kLedgers % kLedgers], Millis{0}, clock_.now());
+        }
+    }
+
+    void checkAll() const
+    {
+        for (unsigned at = 0; at < kLedgers; ++at) {
+            std::size_t entries = 0;
+            for (const auto &[id, fact] : views_[at].facts) {
+                entries += fact.cleared.size();
+            }
+            RC_ASSERT(ledgers_[at]->entryCount() == entries);
+            std::size_t quarantined = 0;
+            for (unsigned i = 0; i < kSignatures; ++i) {
+                const Verdict verdict = ledgers_[at]->check(Signature(i));
+                RC_ASSERT(static_cast<int>(verdict) == static_cast<int>(views_[at].check(Signature(i), clock_.now())));
+                quarantined += verdict == Verdict::Quarantined ? 1U : 0U;
+            }
+            RC_ASSERT(ledgers_[at]->quarantined().size() == quarantined);
+            totals.quarantined += static_cast<int>(quarantined);
+        }
+    }
+
+    ManualClock clock_;
+    std::array<std::unique_ptr<CrashLedger>, kLedgers> ledgers_{std::make_unique<CrashLedger>(clock_),
+                                                                std::make_unique<CrashLedger>(clock_),
+                                                                std::make_unique<CrashLedger>(clock_)};
+    std::array<View, kLedgers> views_;
+    std::array<std::uint64_t, kLedgers> reporters_{0, 1, 2};
+    std::uint64_t lastReporter_ = 2;
+    std::map<std::uint64_t, std::uint64_t> sequences_;
+    std::vector<Mail> mail_;
+};
+
+} // namespace
+
+TEST_CASE("CrashLedger: copies that are late, doubled or reordered lead to the same verdicts as a set of facts")
+{
+    // Guards against crashes that count twice, a clearing that is undone, and differences that never end.
+    CHECK(checkOperations<Deployment>("crash ledger", 600));
+    MESSAGE(totals.quarantined << " quarantined, " << totals.cleared << " cleared, " << totals.lateCopies
+                               << " late copies");
+    CHECK(std::min({totals.quarantined, totals.cleared, totals.lateCopies}) >= 10);
+}
+
+TEST_CASE("CrashLedger: a quarantine lasts 10 min, and the next crash renews it")
+{
+    // Guards against a poison request that is free to crash three more servers after each quarantine.
+    ManualClock clock;
+    CrashLedger ledger(clock);
+    const Signature poison(1);
+    const Verdict expected[] = {Verdict::Suspect, Verdict::Suspect, Verdict::Quarantined, Verdict::Quarantined};
+    for (std::uint64_t i = 0; i < 4; ++i) {
+        clock.advance(i < 3 ? Millis{1000} : CrashLedger::kQuarantine);
+        CHECK(ledger.check(poison) == (i == 0 ? Verdict::Clear : Verdict::Suspect));
+        ledger.crashed({poison, Signature(10 + i)}, {Incarnation(5), i + 1});
+        CHECK(ledger.check(poison) == expected[i]);
+        CHECK(ledger.check(Signature(10 + i)) == Verdict::Suspect);
+    }
+    clock.advance(CrashLedger::kQuarantine - Millis{1});
+    CHECK(ledger.quarantined() == std::vector{poison});
+    CHECK(ledger.completed(poison));
+    CHECK_FALSE(ledger.completed(poison));
+    CHECK(ledger.check(poison) == Verdict::Clear);
+}
+
+TEST_CASE("CrashLedger: memory is bounded, and what was dropped does not come back")
+{
+    // Guards against a failure of many servers that exhausts memory or restores cleared signatures.
+    ManualClock clock;
+    CrashLedger ledger(clock, {.entries = 10, .signaturesPerReport = 4, .reporters = 3});
+    std::vector<CrashReport> reports;
+    for (std::uint64_t i = 0; i < 50; ++i) {
+        clock.advance(Millis{1});
+        ledger.crashed({Signature(i), Signature(i + 1), Signature(i + 2), Signature(i + 3), Signature(i + 4)},
+                       {Incarnation(i % 2), i});
+        CHECK(ledger.entryCount() <= 10);
+        if (i == 0) {
+            ledger.completed(Signature(1));
+            reports = {{{Incarnation(0), 0}, Millis{0}, {Signature(1)}, {}}};
+        }
+    }
+    CHECK_FALSE(ledger.merge(reports));
+    CHECK(ledger.check(Signature(1)) == Verdict::Clear);
+    CHECK(ledger.check(Signature(49)) == Verdict::Suspect);
+    CHECK(ledger.check(Signature(53)) == Verdict::Clear);
+}
--- /dev/null
+++ b/src/retry/autotests/attemptallowancetest.cpp
@@ -0,0 +1,73 @@
+#include "retry/attemptallowance.h"
+
+#include "core/attemptlimit.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace Hibiscus;
+
+namespace
+{
+
+/** A call that makes attempts, each with child calls. Returns what it reports as spent; empty if its answer is lost. */
+std::optional<int> runCall(AttemptAllowance &allowance, int depth, int &attempts)
+{
+    const int wantedAttempts = *rc::gen::inRange(1, 4);
+    for (int i = 0; i < wantedAttempts && allowance.takeOne(); ++i) {
+        ++attempts;
+        const int children = depth == 0 ? 0 : *rc::gen::inRange(0, 3);
+        for (int child = 0; child < children; ++child) {
+            const int before = allowance.left();
+            const int granted = allowance.grantChild(*rc::gen::inRange(0, 100));
+            RC_ASSERT(granted == (before == 0 ? 0 : std::max(1, granted)));
+            RC_ASSERT(granted <= std::max(1, before * 3 / 4));
+            AttemptAllowance childAllowance(granted);
+            const std::optional<int> spent = runCall(childAllowance, depth - 1, attempts);
+            allowance.settleChild(granted, spent);
+        }
+    }
+    return *rc::gen::inRange(0, 4) == 0 ? std::nullopt : std::optional(allowance.spent());
+}
+
+} // namespace
+
+TEST_CASE("AttemptAllowance: the attempts of a call tree stay within the total, however deep it is")
+{
+    // Guards against retries that multiply from level to level, and attempts restored after a lost answer.
+    CHECK(rc::check("call tree", [] {
+        AttemptAllowance root(kAttemptsPerTap);
+        int attempts = 0;
+        runCall(root, *rc::gen::inRange(0, 10), attempts);
+        RC_ASSERT(attempts <= root.spent());
+        RC_ASSERT(root.spent() <= kAttemptsPerTap);
+    }));
+}
+
+TEST_CASE("AttemptAllowance: grants and settlements")
+{
+    // Guards against a child that starves its siblings, and reports of other processes that raise the total.
+    const struct {
+        int left, peak, granted;
+    } grants[] = {{64, 0, 4}, {64, 10, 24}, {64, 1'000'000'000, 48}, {64, -5, 4}, {4, 10, 3}, {1, 0, 1},
+                  {0, 9, 0},  {-3, 9, 0}};
+    for (const auto &[left, peak, granted] : grants) {
+        CAPTURE(left);
+        CHECK(AttemptAllowance(left).grantChild(peak) == granted);
+    }
+
+    const struct {
+        int granted;
+        std::optional<int> spent;
+        int left;
+    } settlements[] = {{24, 5, 59}, {24, 0, 64}, {24, -9, 64}, {24, 99, 40}, {24, {}, 40}, {50, 0, 64}};
+    for (const auto &[granted, spent, left] : settlements) {
+        CAPTURE(granted);
+        AttemptAllowance allowance(64);
+        allowance.grantChild(10);
+        allowance.settleChild(granted, spent);
+        CHECK(allowance.left() == left);
+        allowance.settleChild(granted, 0);
+        CHECK(allowance.left() == left);
+    }
+}
