--- a/src/membership/domainagentstate.cpp
+++ b/src/membership/domainagentstate.cpp
@@ -40,7 +40,7 @@
     , platform_(settings_.domain, settings_.name.value() + ' ' + std::to_string(settings_.incarnation.value()))
     , rounds_(randomBits(random, kRandomRoundBits))
     , relayReports_(settings_.incarnation)
-    , lastContact_(startedAt_)
+    , lastContact_(startedAt_ - kRoundLength * kTakeoverRounds)
     , lastPoll_(startedAt_)
 {
     own_.name = settings_.name;
@@ -64,6 +64,7 @@
     if (lastEntry_ && time - *lastEntry_ > kPauseThreshold) {
         log(LogEvent::PauseDetected, std::to_string((time - *lastEntry_).value) + " ms");
         lease_.noteGap(time);
+        stopped_ = true;
         // What was missed while stopped says nothing about the others.
         lastPoll_ = time;
         for (auto &[name, heardAt] : heardAt_) {
@@ -239,14 +240,14 @@
     if (superseded_) {
         return;
     }
-    if (everCounted_) {
-        // This process was stopped while another one was started under its name.
+    if (stopped_) {
+        // Another process was started under this name in the meantime.
         superseded_ = true;
         lease_.revoke();
         standDown("replaced by another process");
         return;
     }
-    // A process that never counted in a majority is the newer one and replaces the record of its predecessor.
+    // A process that was not stopped is the newer one and replaces the record of its predecessor.
     own_.revision = ((revision >> 32U) + 1) << 32U;
     bumpOwnRecord();
 }
@@ -376,7 +377,10 @@
             }
         }
         noteOwnRevision(poll.knownRevision, poll.knownUp);
-        announced_ = announced_ || (poll.knownUp && poll.knownRevision == own_.revision);
+        if (poll.knownUp && poll.knownRevision == own_.revision) {
+            announced_ = true;
+            stopped_ = false;
+        }
     }
     PollResponse response;
     response.name = own_.name;
@@ -384,7 +388,7 @@
     response.round = poll.round;
     response.revision = own_.revision;
     response.adopted = lease_.adopted();
-    response.counts = counts();
+    response.counts = lease_.counts(now());
     response.leaseRemaining = wholeMillis(lease_.remaining(now()));
     response.sentAt = {std::floor(now().value)};
     response.groupUnknown = groupUnknown;
@@ -513,13 +517,6 @@
 
 // Agent role
 
-bool DomainAgent::State::counts()
-{
-    const bool result = lease_.counts(now());
-    everCounted_ = everCounted_ || result;
-    return result;
-}
-
 std::vector<ServerName> DomainAgent::State::hashOrder() const
 {
     std::vector<ServerName> names = adoption_.roster();
@@ -622,9 +619,9 @@
 
 // Rounds
 
-AdoptionReport DomainAgent::State::ownReport()
+AdoptionReport DomainAgent::State::ownReport() const
 {
-    return {own_.name, own_.incarnation, lease_.adopted(), counts()};
+    return {own_.name, own_.incarnation, lease_.adopted(), lease_.counts(now())};
 }
 
 void DomainAgent::State::startRound()
@@ -977,7 +974,6 @@
 
 void DomainAgent::State::noteLease()
 {
-    counts();
     const bool fresh = lease_.valid(now());
     if (fresh != wasFresh_) {
         log(fresh ? LogEvent::LeaseRegained : LogEvent::LeaseLost, std::to_string(lease_.adopted().value()));
--- a/src/membership/domainagentstate.h
+++ b/src/membership/domainagentstate.h
@@ -106,7 +106,6 @@
     std::size_t rank(const ServerName &name) const;
     int takeoverRounds() const;
     std::vector<ServerName> hashOrder() const;
-    bool counts();
 
     // Rounds
     void startRound();
@@ -119,7 +118,7 @@
     void takeResponses(const std::vector<PollResponse> &responses);
     void takeResponse(const PollResponse &response, TimePoint roundSentAt);
     void noteRound(std::uint64_t round);
-    AdoptionReport ownReport();
+    AdoptionReport ownReport() const;
 
     // Without an agent
     void seekPeers();
@@ -181,7 +180,7 @@
     std::map<FailureDomainName, Contact> otherAgents_;
     std::set<FailureDomainName> unreachable_;
 
-    bool everCounted_ = false;
+    bool stopped_ = false; ///< Was stopped, and has not been polled under its own record since.
     bool wasFresh_ = false;
     TimePoint nextHeadroom_;
 };
