Membership: find processes whose addresses all changed through the platform's agent objects

The property test left two agents of one domain that only knew dead addresses of each other, when all seeds had been replaced as well: nothing but the platform still knew both. The number of calls still doesn't depend on the number of servers.

--- a/src/membership/domainagentstate.cpp
+++ b/src/membership/domainagentstate.cpp
@@ -37,7 +37,7 @@
     , clock_(clock)
     , random_(random)
     , startedAt_(clock.now())
-    , platform_(settings_.domain, settings_.name.value() + ' ' + std::to_string(settings_.incarnation.value()))
+    , platform_({settings_.domain, settings_.name, settings_.incarnation, settings_.peerAddress})
     , rounds_(randomBits(random, kRandomRoundBits))
     , relayReports_(settings_.incarnation)
     , lastContact_(startedAt_ - kRoundLength * kTakeoverRounds)
@@ -137,8 +137,15 @@
     std::erase_if(otherAgents_, [&](const auto &item) { return item.second.address == request.to; });
     const MemberRecord *record = table_.find(request.toName);
     const bool exchange = request.kind == kRequestKind<ViewRequest> && record != nullptr;
-    if (exchange && record->domain != own_.domain && unreachable_.insert(record->domain).second) {
-        log(LogEvent::DomainUnreachable, record->domain.value());
+    if (exchange && record->domain != own_.domain) {
+        noteUnreachable(record->domain);
+    }
+}
+
+void DomainAgent::State::noteUnreachable(const FailureDomainName &domain)
+{
+    if (unreachable_.insert(domain).second) {
+        log(LogEvent::DomainUnreachable, domain.value());
     }
 }
 
@@ -250,6 +257,7 @@
     // A process that was not stopped is the newer one and replaces the record of its predecessor.
     own_.revision = ((revision >> 32U) + 1) << 32U;
     bumpOwnRecord();
+    exchangeNow_ = true;
 }
 
 void DomainAgent::State::bumpOwnRecord()
@@ -481,7 +489,7 @@
         return;
     }
     noteAgentOf(response.from.domain, response.agent, response.agentAddress);
-    if (now() - lastContact_ > kRoundLength * 2) {
+    if (agent_ ? response.from.domain == own_.domain : now() - lastContact_ > kRoundLength * 2) {
         noteView(response.from);
     }
 }
@@ -494,7 +502,9 @@
     std::uint64_t &fetched = fetchedUpTo_[response.from.incarnation];
     fetched = std::max(fetched, response.from.viewVersion);
     if (response.from.domain != own_.domain) {
-        pushedUpTo_[response.from.incarnation] = request.tableVersion;
+        if (request.table == response.from.incarnation) {
+            pushedUpTo_[request.table] = request.tableVersion;
+        }
         unreachable_.erase(response.from.domain);
         if (agent_) {
             passOn(response.from, changes);
@@ -791,6 +801,9 @@
     if (!lease_.valid(now()) && !superseded_) {
         requestLease();
     }
+    if (agent_ && rival_) {
+        announceTo(*std::exchange(rival_, std::nullopt));
+    }
     const bool polled = now() - lastContact_ <= kRoundLength * 2;
     if (agent_ || superseded_ || (polled && announced_)) {
         return;
@@ -874,6 +887,7 @@
     const auto known = otherAgents_.find(domain);
     std::optional<Contact> contact = known != otherAgents_.end() ? std::optional(known->second) : randomMember(domain);
     if (!contact) {
+        noteUnreachable(domain);
         contact = randomSeed();
         if (contact) {
             announceTo(*contact);
@@ -888,9 +902,10 @@
     const auto fetched = fetchedUpTo_.find(incarnation);
     const auto pushed = pushedUpTo_.find(incarnation);
     const std::uint64_t pushedUpTo = pushed == pushedUpTo_.end() ? 0 : pushed->second;
-    send(contact->address, contact->name,
-         ViewRequest{self(), incarnation, fetched == fetchedUpTo_.end() ? 0 : fetched->second,
-                     table_.recordsSince(pushedUpTo), table_.entriesSince(pushedUpTo)});
+    Pending *request = send(contact->address, contact->name,
+                            ViewRequest{self(), incarnation, fetched == fetchedUpTo_.end() ? 0 : fetched->second,
+                                        table_.recordsSince(pushedUpTo), table_.entriesSince(pushedUpTo)});
+    request->table = incarnation;
 }
 
 // Configuration
@@ -947,6 +962,9 @@
             needs.confirm = Confirmation{*version, adoption_.rosterOf(*version)};
         }
     }
+    if (!unreachable_.empty()) {
+        needs.lost = *std::next(unreachable_.begin(), static_cast<std::ptrdiff_t>(random_.below(unreachable_.size())));
+    }
     for (PlatformCall &call : platform_.tick(needs, now())) {
         effects_.platformCalls.push_back(std::move(call));
     }
@@ -964,6 +982,9 @@
             lease_.grantFrom(*news.readSentAt, news.configuration->version, now());
         }
     }
+    if (news.holder) {
+        noteHolder(*news.holder);
+    }
     if (news.confirmed) {
         adoption_.setConfirmed(news.confirmed->version, news.confirmed->roster);
         if (news.wroteConfirmation) {
@@ -972,6 +993,16 @@
     }
 }
 
+void DomainAgent::State::noteHolder(const RoleHolder &holder)
+{
+    // Finds processes again whose addresses all changed while they were out of reach.
+    if (holder.domain == own_.domain) {
+        rival_ = Contact{holder.name, holder.address};
+    } else {
+        otherAgents_[holder.domain] = {holder.name, holder.address};
+    }
+}
+
 void DomainAgent::State::noteLease()
 {
     const bool fresh = lease_.valid(now());
--- a/src/membership/domainagentstate.h
+++ b/src/membership/domainagentstate.h
@@ -56,6 +56,7 @@
         std::uint64_t round = 0; ///< Poll, and an announce with a report.
         std::uint64_t group = 0; ///< Poll to a relay, and an announce with a report.
         std::uint64_t tableVersion = 0; ///< Own table at the time of sending.
+        Incarnation table; ///< View request: process whose table it refers to.
         std::vector<PayloadEntry> entries; ///< To be sent again when the request fails.
     };
     struct Echo {
@@ -135,6 +136,8 @@
     ConfigVersion knownVersion() const;
     void offer(ConfigVersion version, const std::string &text);
     void callPlatform();
+    void noteHolder(const RoleHolder &holder);
+    void noteUnreachable(const FailureDomainName &domain);
     void noteLease();
     void expireRequests();
 
@@ -178,6 +181,8 @@
     TimePoint nextExchange_;
     bool exchangeNow_ = false;
     std::map<FailureDomainName, Contact> otherAgents_;
+    std::optional<Contact>
+        rival_; ///< Process that holds the role of this domain in the platform though this one polls.
     std::set<FailureDomainName> unreachable_;
 
     bool stopped_ = false; ///< Was stopped, and has not been polled under its own record since.
--- a/src/membership/platformlink.cpp
+++ b/src/membership/platformlink.cpp
@@ -38,10 +38,27 @@
     return result;
 }
 
-PlatformLink::PlatformLink(const FailureDomainName &domain, std::string holder)
-    : agentKey_(DomainAgent::agentKey(domain))
-    , confirmKey_(DomainAgent::confirmKey(domain))
-    , holder_(std::move(holder))
+std::string formatRoleHolder(const RoleHolder &holder)
+{
+    return holder.name.value() + '\n' + std::to_string(holder.incarnation.value()) + '\n' + holder.address.value();
+}
+
+std::optional<RoleHolder> parseRoleHolder(const FailureDomainName &domain, const std::string &value)
+{
+    std::istringstream lines(value);
+    std::string name;
+    std::uint64_t incarnation = 0;
+    std::string address;
+    if (!std::getline(lines, name) || !(lines >> incarnation >> address)) {
+        return std::nullopt;
+    }
+    return RoleHolder{domain, ServerName(name), Incarnation(incarnation), HostAddress(address)};
+}
+
+PlatformLink::PlatformLink(RoleHolder self)
+    : agentKey_(DomainAgent::agentKey(self.domain))
+    , confirmKey_(DomainAgent::confirmKey(self.domain))
+    , self_(std::move(self))
     , backoff_(kPlatformBackoff)
 {
 }
@@ -69,7 +86,7 @@
                                   std::string key, TimePoint now)
 {
     const PlatformCallId id(++lastId_);
-    calls_.emplace(id, Pending{purpose, now, {}});
+    calls_.emplace(id, Pending{purpose, now, {}, {}});
     PlatformCall call;
     call.id = id;
     call.kind = kind;
@@ -88,6 +105,7 @@
     callConfiguration(calls, needs, now);
     callAgentRole(calls, needs, now);
     callConfirm(calls, needs, now);
+    callLookup(calls, needs, now);
     return calls;
 }
 
@@ -139,10 +157,20 @@
     }
     const auto kind = roleVersion_ == 0 ? PlatformCall::Kind::Create : PlatformCall::Kind::Update;
     PlatformCall &call = begin(calls, Purpose::WriteAgent, kind, agentKey_, now);
-    call.value = holder_;
+    call.value = formatRoleHolder(self_);
     call.version = roleVersion_;
 }
 
+void PlatformLink::callLookup(std::vector<PlatformCall> &calls, const Needs &needs, TimePoint now)
+{
+    if (needs.lost && now >= nextLookup_ && !outstanding(Purpose::ReadOtherAgent)) {
+        nextLookup_ = now + kAgentRenewal;
+        const std::string key = DomainAgent::agentKey(*needs.lost);
+        const PlatformCall &call = begin(calls, Purpose::ReadOtherAgent, PlatformCall::Kind::Get, key, now);
+        calls_.at(call.id).domain = *needs.lost;
+    }
+}
+
 void PlatformLink::callConfirm(std::vector<PlatformCall> &calls, const Needs &needs, TimePoint now)
 {
     if (outstanding(Purpose::ReadConfirm) || outstanding(Purpose::WriteConfirm)) {
@@ -179,12 +207,17 @@
         break;
     case Purpose::ReadAgent:
     case Purpose::WriteAgent:
-        completeAgentRole(call, result, now);
+        completeAgentRole(call, result, news, now);
         break;
     case Purpose::ReadConfirm:
     case Purpose::WriteConfirm:
         completeConfirm(call, result, news);
         break;
+    case Purpose::ReadOtherAgent:
+        if (result.status == PlatformResult::Status::Ok) {
+            news.holder = parseRoleHolder(call.domain, result.value);
+        }
+        break;
     }
     return news;
 }
@@ -219,7 +252,7 @@
     }
 }
 
-void PlatformLink::completeAgentRole(const Pending &call, const PlatformResult &result, TimePoint now)
+void PlatformLink::completeAgentRole(const Pending &call, const PlatformResult &result, News &news, TimePoint now)
 {
     if (call.purpose == Purpose::WriteAgent) {
         if (result.status == PlatformResult::Status::Ok) {
@@ -237,13 +270,15 @@
         roleVersion_ = 0;
     } else if (result.status == PlatformResult::Status::Ok) {
         roleKnown_ = true;
-        roleHeld_ = result.value == holder_;
+        news.holder = parseRoleHolder(self_.domain, result.value);
+        roleHeld_ = news.holder && news.holder->incarnation == self_.incarnation;
         if (roleVersion_ != result.version) {
             roleVersion_ = result.version;
             roleChangedAt_ = now;
         }
         // Only the holder has the object's version as its term; with it, another process would outrank the holder.
         if (roleHeld_) {
+            news.holder.reset();
             noteTerm(result.version);
         }
     }
--- a/src/membership/platformlink.h
+++ b/src/membership/platformlink.h
@@ -22,6 +22,19 @@
 /** Empty if @p value is malformed. */
 std::optional<Confirmation> parseConfirmation(const std::string &value);
 
+/** Process that holds the agent role of a domain, as recorded in the platform. */
+struct RoleHolder {
+    FailureDomainName domain;
+    ServerName name;
+    Incarnation incarnation;
+    HostAddress address;
+};
+
+/** Text of an agent object. */
+std::string formatRoleHolder(const RoleHolder &holder);
+/** Empty if @p value is malformed. */
+std::optional<RoleHolder> parseRoleHolder(const FailureDomainName &domain, const std::string &value);
+
 /**
  * Platform calls of an agent: reads and watches the configuration, holds the agent role, and records confirmations.
  * At most one call of each purpose is outstanding; after a failure calls are repeated with exponential backoff.
@@ -35,6 +48,7 @@
         TimePoint leaseExpiry;
         bool mayClaim = false; ///< A majority of the roster answers this agent, so it may take the role from another.
         std::optional<Confirmation> confirm;
+        std::optional<FailureDomainName> lost; ///< Domain of which no process is reachable at the known addresses.
     };
 
     /** What a result brought. */
@@ -43,10 +57,11 @@
         std::optional<TimePoint> readSentAt; ///< Set when the configuration came from a read, which grants a lease.
         std::optional<Confirmation> confirmed; ///< State of the domain's confirm object.
         bool wroteConfirmation = false;
+        std::optional<RoleHolder> holder; ///< Agent of this or another domain, other than this process.
         std::optional<bool> available; ///< Set when the platform became available or unavailable.
     };
 
-    PlatformLink(const FailureDomainName &domain, std::string holder);
+    explicit PlatformLink(RoleHolder self);
 
     /** The process became agent. */
     void start();
@@ -68,11 +83,13 @@
         WriteAgent,
         ReadConfirm,
         WriteConfirm,
+        ReadOtherAgent,
     };
     struct Pending {
         Purpose purpose;
         TimePoint sentAt;
         Confirmation confirmation;
+        FailureDomainName domain; ///< ReadOtherAgent.
     };
 
     bool outstanding(Purpose purpose) const;
@@ -81,15 +98,16 @@
     void dropLost(TimePoint now);
     void callConfiguration(std::vector<PlatformCall> &calls, const Needs &needs, TimePoint now);
     void callAgentRole(std::vector<PlatformCall> &calls, const Needs &needs, TimePoint now);
+    void callLookup(std::vector<PlatformCall> &calls, const Needs &needs, TimePoint now);
     void callConfirm(std::vector<PlatformCall> &calls, const Needs &needs, TimePoint now);
     void noteAvailability(const PlatformResult &result, News &news, TimePoint now);
     void completeConfiguration(const Pending &call, const PlatformResult &result, News &news);
-    void completeAgentRole(const Pending &call, const PlatformResult &result, TimePoint now);
+    void completeAgentRole(const Pending &call, const PlatformResult &result, News &news, TimePoint now);
     void completeConfirm(const Pending &call, const PlatformResult &result, News &news);
 
     std::string agentKey_;
     std::string confirmKey_;
-    std::string holder_;
+    RoleHolder self_;
     bool active_ = false;
     std::map<PlatformCallId, Pending> calls_;
     std::uint64_t lastId_ = 0;
@@ -108,6 +126,7 @@
     TimePoint roleChangedAt_;
     TimePoint nextRoleCall_;
     std::uint64_t term_ = 0;
+    TimePoint nextLookup_;
 
     bool confirmKnown_ = false;
     std::uint64_t confirmObjectVersion_ = 0;
