--- a/src/membership/domainagentstate.cpp
+++ b/src/membership/domainagentstate.cpp
@@ -37,10 +37,10 @@
     , clock_(clock)
     , random_(random)
     , startedAt_(clock.now())
-    , platform_(settings_.domain, settings_.name.value() + ' ' + std::to_string(settings_.incarnation.value()))
+    , platform_({settings_.domain, settings_.name, settings_.incarnation, settings_.peerAddress})
     , rounds_(randomBits(random, kRandomRoundBits))
     , relayReports_(settings_.incarnation)
-    , lastContact_(startedAt_)
+    , lastContact_(startedAt_ - kRoundLength * kTakeoverRounds)
     , lastPoll_(startedAt_)
 {
     own_.name = settings_.name;
@@ -64,6 +64,7 @@
     if (lastEntry_ && time - *lastEntry_ > kPauseThreshold) {
         log(LogEvent::PauseDetected, std::to_string((time - *lastEntry_).value) + " ms");
         lease_.noteGap(time);
+        stopped_ = true;
         // What was missed while stopped says nothing about the others.
         lastPoll_ = time;
         for (auto &[name, heardAt] : heardAt_) {
@@ -136,8 +137,15 @@
     std::erase_if(otherAgents_, [&](const auto &item) { return item.second.address == request.to; });
     const MemberRecord *record = table_.find(request.toName);
     const bool exchange = request.kind == kRequestKind<ViewRequest> && record != nullptr;
-    if (exchange && record->domain != own_.domain && unreachable_.insert(record->domain).second) {
-        log(LogEvent::DomainUnreachable, record->domain.value());
+    if (exchange && record->domain != own_.domain) {
+        noteUnreachable(record->domain);
+    }
+}
+
+void DomainAgent::State::noteUnreachable(const FailureDomainName &domain)
+{
+    if (unreachable_.insert(domain).second) {
+        log(LogEvent::DomainUnreachable, domain.value());
     }
 }
 
@@ -239,16 +247,17 @@
     if (superseded_) {
         return;
     }
-    if (everCounted_) {
-        // This process was stopped while another one was started under its name.
+    if (stopped_) {
+        // Another process was started under this name in the meantime.
         superseded_ = true;
         lease_.revoke();
         standDown("replaced by another process");
         return;
     }
-    // A process that never counted in a majority is the newer one and replaces the record of its predecessor.
+    // A process that was not stopped is the newer one and replaces the record of its predecessor.
     own_.revision = ((revision >> 32U) + 1) << 32U;
     bumpOwnRecord();
+    exchangeNow_ = true;
 }
 
 void DomainAgent::State::bumpOwnRecord()
@@ -376,7 +385,10 @@
             }
         }
         noteOwnRevision(poll.knownRevision, poll.knownUp);
-        announced_ = announced_ || (poll.knownUp && poll.knownRevision == own_.revision);
+        if (poll.knownUp && poll.knownRevision == own_.revision) {
+            announced_ = true;
+            stopped_ = false;
+        }
     }
     PollResponse response;
     response.name = own_.name;
@@ -384,7 +396,7 @@
     response.round = poll.round;
     response.revision = own_.revision;
     response.adopted = lease_.adopted();
-    response.counts = counts();
+    response.counts = lease_.counts(now());
     response.leaseRemaining = wholeMillis(lease_.remaining(now()));
     response.sentAt = {std::floor(now().value)};
     response.groupUnknown = groupUnknown;
@@ -477,7 +489,7 @@
         return;
     }
     noteAgentOf(response.from.domain, response.agent, response.agentAddress);
-    if (now() - lastContact_ > kRoundLength * 2) {
+    if (agent_ ? response.from.domain == own_.domain : now() - lastContact_ > kRoundLength * 2) {
         noteView(response.from);
     }
 }
@@ -490,7 +502,9 @@
     std::uint64_t &fetched = fetchedUpTo_[response.from.incarnation];
     fetched = std::max(fetched, response.from.viewVersion);
     if (response.from.domain != own_.domain) {
-        pushedUpTo_[response.from.incarnation] = request.tableVersion;
+        if (request.table == response.from.incarnation) {
+            pushedUpTo_[request.table] = request.tableVersion;
+        }
         unreachable_.erase(response.from.domain);
         if (agent_) {
             passOn(response.from, changes);
@@ -513,13 +527,6 @@
 
 // Agent role
 
-bool DomainAgent::State::counts()
-{
-    const bool result = lease_.counts(now());
-    everCounted_ = everCounted_ || result;
-    return result;
-}
-
 std::vector<ServerName> DomainAgent::State::hashOrder() const
 {
     std::vector<ServerName> names = adoption_.roster();
@@ -622,9 +629,9 @@
 
 // Rounds
 
-AdoptionReport DomainAgent::State::ownReport()
+AdoptionReport DomainAgent::State::ownReport() const
 {
-    return {own_.name, own_.incarnation, lease_.adopted(), counts()};
+    return {own_.name, own_.incarnation, lease_.adopted(), lease_.counts(now())};
 }
 
 void DomainAgent::State::startRound()
@@ -794,6 +801,9 @@
     if (!lease_.valid(now()) && !superseded_) {
         requestLease();
     }
+    if (agent_ && rival_) {
+        announceTo(*std::exchange(rival_, std::nullopt));
+    }
     const bool polled = now() - lastContact_ <= kRoundLength * 2;
     if (agent_ || superseded_ || (polled && announced_)) {
         return;
@@ -877,6 +887,7 @@
     const auto known = otherAgents_.find(domain);
     std::optional<Contact> contact = known != otherAgents_.end() ? std::optional(known->second) : randomMember(domain);
     if (!contact) {
+        noteUnreachable(domain);
         contact = randomSeed();
         if (contact) {
             announceTo(*contact);
@@ -891,9 +902,10 @@
     const auto fetched = fetchedUpTo_.find(incarnation);
     const auto pushed = pushedUpTo_.find(incarnation);
     const std::uint64_t pushedUpTo = pushed == pushedUpTo_.end() ? 0 : pushed->second;
-    send(contact->address, contact->name,
-         ViewRequest{self(), incarnation, fetched == fetchedUpTo_.end() ? 0 : fetched->second,
-                     table_.recordsSince(pushedUpTo), table_.entriesSince(pushedUpTo)});
+    Pending *request = send(contact->address, contact->name,
+                            ViewRequest{self(), incarnation, fetched == fetchedUpTo_.end() ? 0 : fetched->second,
+                                        table_.recordsSince(pushedUpTo), table_.entriesSince(pushedUpTo)});
+    request->table = incarnation;
 }
 
 // Configuration
@@ -950,6 +962,9 @@
             needs.confirm = Confirmation{*version, adoption_.rosterOf(*version)};
         }
     }
+    if (!unreachable_.empty()) {
+        needs.lost = *std::next(unreachable_.begin(), static_cast<std::ptrdiff_t>(random_.below(unreachable_.size())));
+    }
     for (PlatformCall &call : platform_.tick(needs, now())) {
         effects_.platformCalls.push_back(std::move(call));
     }
@@ -967,6 +982,9 @@
             lease_.grantFrom(*news.readSentAt, news.configuration->version, now());
         }
     }
+    if (news.holder) {
+        noteHolder(*news.holder);
+    }
     if (news.confirmed) {
         adoption_.setConfirmed(news.confirmed->version, news.confirmed->roster);
         if (news.wroteConfirmation) {
@@ -975,9 +993,18 @@
     }
 }
 
+void DomainAgent::State::noteHolder(const RoleHolder &holder)
+{
+    // Finds processes again whose addresses all changed while they were out of reach.
+    if (holder.domain == own_.domain) {
+        rival_ = Contact{holder.name, holder.address};
+    } else {
+        otherAgents_[holder.domain] = {holder.name, holder.address};
+    }
+}
+
 void DomainAgent::State::noteLease()
 {
-    counts();
     const bool fresh = lease_.valid(now());
     if (fresh != wasFresh_) {
         log(fresh ? LogEvent::LeaseRegained : LogEvent::LeaseLost, std::to_string(lease_.adopted().value()));
