Backend server stand-in

Cause: the fault model needs servers with slots, connection limit, cold start, draining, load shedding, cancellation, deadlines, crash requests, silent connections and calls further down the chain. Ruled out: a thread per request, which can't hold 1,700 connections cheaply; one thread with timers on the HTTP server of src/http does it instead. Before: no stand-in. Conclusion: answers nest the downstream answers with a digest over all tags, so a caller checks the whole answer on its own.

--- /dev/null
+++ b/tools/backend_standin/backendrun.cpp
@@ -0,0 +1,206 @@
+#include "backend_standin/backendrun.h"
+
+#include "backend_standin/answertree.h"
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace Hibiscus
+{
+
+namespace
+{
+
+std::chrono::microseconds toChrono(Millis duration)
+{
+    return std::chrono::microseconds(static_cast<long>(std::max(0.0, duration.value) * 1000));
+}
+
+std::string headerOr(const HttpRequest &request, std::string_view name, const std::string &otherwise)
+{
+    const auto value = request.headers.find(name);
+    return value ? std::string(*value) : otherwise;
+}
+
+std::optional<TimePoint> deadlineOf(const HttpRequest &request, TimePoint now)
+{
+    const auto text = request.headers.find("Hibiscus-Deadline-Ms");
+    double remaining = 0;
+    if (!text || std::from_chars(text->data(), text->data() + text->size(), remaining).ec != std::errc()) {
+        return std::nullopt;
+    }
+    return now + Millis{remaining};
+}
+
+CallOrigin originOf(const BackendCore &core, const HttpRequest &request, const std::string &path)
+{
+    CallOrigin origin;
+    origin.tag = headerOr(request, kTagHeader, "");
+    const std::string step = fmt::format("{} {} {}", core.settings.service.value(), request.method, path);
+    const std::string parents = headerOr(request, kCallPathHeader, "");
+    origin.callPath = parents.empty() ? step : parents + " > " + step;
+    if (const auto context = request.headers.find("Hibiscus-Context")) {
+        origin.context = std::string(*context);
+    }
+    origin.deadline = deadlineOf(request, core.clock.now());
+    return origin;
+}
+
+} // namespace
+
+BackendRun::BackendRun(BackendCore &core, std::uint64_t id, HttpRequest request, std::string path,
+                       HttpResponder respond, std::function<void()> ended)
+    : core_(core)
+    , id_(id)
+    , request_(std::move(request))
+    , path_(std::move(path))
+    , respond_(std::move(respond))
+    , ended_(std::move(ended))
+    , route_(routeFor(core.settings, request_.method, path_))
+    , origin_(originOf(core, request_, path_))
+    , workTimer_(core.context)
+    , deadlineTimer_(core.context)
+{
+    answerHeaders_.add(kTagHeader, origin_.tag);
+    answerHeaders_.add("X-Server", core.settings.name);
+    if (const auto attempt = request_.headers.find("Hibiscus-Attempt")) {
+        answerHeaders_.add("Hibiscus-Attempt", std::string(*attempt));
+    }
+}
+
+void BackendRun::start()
+{
+    if (core_.faults.draining) {
+        refuse("draining");
+        return;
+    }
+    if (origin_.deadline && *origin_.deadline <= core_.clock.now()) {
+        refuse("deadline has passed");
+        return;
+    }
+    armDeadline();
+    const auto self = shared_from_this();
+    if (core_.slots.enter(id_, [self] { self->work(); }) == SlotQueue::Entry::Refused) {
+        refuse("overloaded");
+    }
+}
+
+void BackendRun::cancel()
+{
+    if (end()) {
+        ++core_.counters.cancelled;
+    }
+}
+
+void BackendRun::armDeadline()
+{
+    if (!origin_.deadline) {
+        return;
+    }
+    deadlineTimer_.expires_after(toChrono(*origin_.deadline - core_.clock.now()));
+    deadlineTimer_.async_wait([weak = weak_from_this()](const asio::error_code &error) {
+        const auto self = weak.lock();
+        if (!error && self) {
+            self->deadlinePassed();
+        }
+    });
+}
+
+void BackendRun::deadlinePassed()
+{
+    if (state_ == State::Waiting) {
+        refuse("deadline has passed");
+        return;
+    }
+    ++core_.counters.late;
+    fail(504, "deadline passed while running");
+}
+
+void BackendRun::work()
+{
+    state_ = State::Working;
+    if (path_.find("/crash") != std::string::npos) {
+        core_.crash();
+        return;
+    }
+    if (core_.settings.logRepeatable || !isRepeatable(route_, request_.method)) {
+        core_.executions.add(origin_.tag, origin_.callPath);
+    }
+    workTimer_.expires_after(toChrono(core_.drawServiceTime(route_)));
+    workTimer_.async_wait([self = shared_from_this()](const asio::error_code &error) {
+        if (!error && self->state_ == State::Working) {
+            self->callDownstream();
+        }
+    });
+}
+
+void BackendRun::callDownstream()
+{
+    const auto calls = std::make_shared<DownstreamCalls>(
+        core_, route_, origin_, [self = shared_from_this()](std::optional<std::vector<std::string>> children) {
+            if (!children) {
+                self->fail(502, "a downstream call failed");
+                return;
+            }
+            self->complete(*children);
+        });
+    calls_ = calls;
+    calls->start();
+}
+
+void BackendRun::complete(const std::vector<std::string> &children)
+{
+    ++core_.counters.completed;
+    std::string body = makeAnswer(origin_.tag, request_.body, children, core_.settings.answerBytes);
+    answerHeaders_.add(kDigestHeader, answerDigest(body));
+    answer(200, std::move(body));
+}
+
+void BackendRun::refuse(const std::string &reason)
+{
+    ++core_.counters.shed;
+    answerHeaders_.add("Hibiscus-Not-Run", "1");
+    answer(503, reason + "\n");
+}
+
+void BackendRun::fail(int status, const std::string &reason)
+{
+    answer(status, reason + "\n");
+}
+
+void BackendRun::answer(int status, std::string body)
+{
+    const HttpResponder respond = respond_;
+    if (end() && respond) {
+        respond({status, answerHeaders_, std::move(body)});
+    }
+}
+
+bool BackendRun::end()
+{
+    if (state_ == State::Ended) {
+        return false;
+    }
+    const bool hadSlot = std::exchange(state_, State::Ended) == State::Working;
+    const auto self = shared_from_this();
+    workTimer_.cancel();
+    deadlineTimer_.cancel();
+    if (calls_) {
+        calls_->cancel();
+        calls_.reset();
+    }
+    respond_ = nullptr;
+    if (hadSlot) {
+        core_.slots.leave();
+    } else {
+        core_.slots.withdraw(id_);
+    }
+    std::exchange(ended_, nullptr)();
+    return true;
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/tools/backend_standin/backendsettings.h
@@ -0,0 +1,74 @@
+#ifndef HIBISCUS_BACKEND_STANDIN_BACKENDSETTINGS_H
+#define HIBISCUS_BACKEND_STANDIN_BACKENDSETTINGS_H
+
+#include "backend_standin/servicetime.h"
+#include "core/ids.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+namespace Hibiscus
+{
+
+/** One call that a server makes to run a request. */
+struct DownstreamCall {
+    ServiceName service;
+    std::string method = "GET";
+    std::string path = "/";
+};
+
+/** How requests of a method and path prefix are run. */
+struct BackendRoute {
+    std::string method; ///< Empty matches every method.
+    std::string pathPrefix = "/";
+    std::optional<bool> repeatable; ///< Without it, every method but POST is repeatable.
+    Millis meanServiceTime; ///< 0 takes the mean of the server.
+    bool parallel = false; ///< Whether the calls are made at once or one after another.
+    std::vector<DownstreamCall> calls;
+};
+
+/** Settings of a backend server stand-in; the JSON file has the same names in snake case. */
+struct BackendSettings {
+    std::string name = "backend";
+    ServiceName service{"service"};
+    HostAddress listen{"127.0.0.1:0"};
+    int slots = 100;
+    std::size_t connections = 1700;
+    int queue = -1; ///< Requests that may wait for a slot before more are shed; negative means as many as slots.
+    std::uint64_t seed = 1;
+    ServiceTimeSettings serviceTime;
+    Millis coldStart; ///< Time from the start for which work is slower.
+    double coldStartFactor = 3;
+    std::size_t answerBytes = 0; ///< Size of the padding in each answer.
+    HostAddress localListener; ///< Local listener of the daemon, for downstream calls.
+    /** Servers that downstream calls go to instead, by service; for measurements without daemons. */
+    std::map<ServiceName, std::vector<HostAddress>> direct;
+    int directRetries = 3;
+    Millis downstreamTimeout{30000};
+    bool logRepeatable = false; ///< Whether repeatable executions are counted too.
+    std::string executionFile; ///< Executions are appended here, so that the count survives a crash; empty for none.
+    std::vector<BackendRoute> routes;
+
+    int queueLimit() const
+    {
+        return queue < 0 ? slots : queue;
+    }
+};
+
+/** Applies a JSON text with comments on top of @p base. The error names the member at fault. */
+tl::expected<BackendSettings, std::string> parseBackendSettings(std::string_view text, BackendSettings base = {});
+
+/** First matching route, or one without calls. */
+BackendRoute routeFor(const BackendSettings &settings, std::string_view method, std::string_view path);
+
+bool isRepeatable(const BackendRoute &route, std::string_view method);
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/tools/backend_standin/downstreamcalls.cpp
@@ -0,0 +1,160 @@
+#include "backend_standin/downstreamcalls.h"
+
+#include "backend_standin/answertree.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace Hibiscus
+{
+
+namespace
+{
+
+constexpr const char *kContextHeader = "Hibiscus-Context";
+constexpr const char *kDeadlineHeader = "Hibiscus-Deadline-Ms";
+
+bool isSuccess(const HttpResult &result)
+{
+    return result && result->status >= 200 && result->status < 300;
+}
+
+} // namespace
+
+DownstreamCalls::DownstreamCalls(BackendCore &core, BackendRoute route, CallOrigin origin, Callback callback)
+    : core_(core)
+    , route_(std::move(route))
+    , origin_(std::move(origin))
+    , callback_(std::move(callback))
+    , answers_(route_.calls.size())
+    , running_(route_.calls.size())
+    , firstServer_(route_.calls.size())
+    , open_(route_.calls.size())
+{
+}
+
+void DownstreamCalls::start()
+{
+    if (open_ == 0) {
+        finish(true);
+        return;
+    }
+    const std::size_t atOnce = route_.parallel ? open_ : 1;
+    for (std::size_t i = 0; i < atOnce && callback_; ++i) {
+        firstServer_[i] = core_.random();
+        send(i, 0);
+    }
+}
+
+void DownstreamCalls::cancel()
+{
+    callback_ = nullptr;
+    for (const std::shared_ptr<HttpCall> &call : running_) {
+        if (call) {
+            call->cancel();
+        }
+    }
+}
+
+void DownstreamCalls::send(std::size_t index, int attempt)
+{
+    const std::optional<HostAddress> address = addressFor(index, attempt);
+    if (!address) {
+        ++core_.counters.failedCalls;
+        finish(false);
+        return;
+    }
+    HttpCallOptions options;
+    options.answerTimeout = timeout();
+    running_[index] = core_.client.send(*address, makeRequest(index), options,
+                                        [self = shared_from_this(), index, attempt](const HttpResult &result) {
+                                            self->received(index, attempt, result);
+                                        });
+}
+
+void DownstreamCalls::received(std::size_t index, int attempt, const HttpResult &result)
+{
+    running_[index].reset();
+    if (!callback_) {
+        return;
+    }
+    if (!isSuccess(result)) {
+        ++core_.counters.failedCalls;
+        const bool direct = !core_.settings.direct.empty();
+        if (direct && attempt < core_.settings.directRetries) {
+            send(index, attempt + 1);
+            return;
+        }
+        finish(false);
+        return;
+    }
+    const std::string tag = childTag(origin_.tag, index);
+    if (!isWholeAnswer(result->body, tag, tag)) {
+        ++core_.counters.wrongAnswers;
+        finish(false);
+        return;
+    }
+    answers_[index] = result->body;
+    --open_;
+    if (open_ == 0) {
+        finish(true);
+    } else if (!route_.parallel) {
+        firstServer_[index + 1] = core_.random();
+        send(index + 1, 0);
+    }
+}
+
+void DownstreamCalls::finish(bool succeeded)
+{
+    const Callback callback = std::exchange(callback_, nullptr);
+    if (!callback) {
+        return;
+    }
+    cancel();
+    callback(succeeded ? std::optional(std::move(answers_)) : std::nullopt);
+}
+
+HttpRequest DownstreamCalls::makeRequest(std::size_t index) const
+{
+    const DownstreamCall &call = route_.calls[index];
+    const bool direct = !core_.settings.direct.empty();
+    HttpRequest request;
+    request.method = call.method;
+    request.target = direct ? call.path : "/svc/" + call.service.value() + call.path;
+    const std::string tag = childTag(origin_.tag, index);
+    request.headers.add(kTagHeader, tag);
+    request.headers.add(kCallPathHeader, origin_.callPath);
+    if (origin_.context) {
+        request.headers.add(kContextHeader, *origin_.context);
+    }
+    if (direct && origin_.deadline) {
+        request.headers.add(kDeadlineHeader, fmt::format("{:.0f}", timeout().value));
+    }
+    request.body = tag;
+    return request;
+}
+
+std::optional<HostAddress> DownstreamCalls::addressFor(std::size_t index, int attempt)
+{
+    if (core_.settings.direct.empty()) {
+        const HostAddress &local = core_.settings.localListener;
+        return local.value().empty() ? std::nullopt : std::optional(local);
+    }
+    const auto found = core_.settings.direct.find(route_.calls[index].service);
+    if (found == core_.settings.direct.end() || found->second.empty()) {
+        return std::nullopt;
+    }
+    return found->second[(firstServer_[index] + static_cast<std::size_t>(attempt)) % found->second.size()];
+}
+
+Millis DownstreamCalls::timeout() const
+{
+    if (!origin_.deadline) {
+        return core_.settings.downstreamTimeout;
+    }
+    return std::clamp(*origin_.deadline - core_.clock.now(), Millis{1}, core_.settings.downstreamTimeout);
+}
+
+} // namespace Hibiscus
