Open-loop caller that checks every answer

Cause: goodput, false answers and double runs must be measured from outside the layer, and a baseline without the layer needs the same load. Ruled out: judging an answer by its status alone; tag, body hash and the digest over all downstream answers must match as well. Before: no load program. Conclusion: a resend of a repeatable request has a tag of its own, so an answer of not run can be compared with the executions of that attempt.

--- a/tools/backend_standin/backendrun.cpp
+++ b/tools/backend_standin/backendrun.cpp
@@ -127,8 +127,9 @@
         core_.crash();
         return;
     }
-    if (core_.settings.logRepeatable || !isRepeatable(route_, request_.method)) {
-        core_.executions.add(origin_.tag, origin_.callPath);
+    const bool repeatable = isRepeatable(route_, request_.method);
+    if (core_.settings.logRepeatable || !repeatable) {
+        core_.executions.add(origin_.tag, origin_.callPath, repeatable);
     }
     workTimer_.expires_after(toChrono(core_.drawServiceTime(route_)));
     workTimer_.async_wait([self = shared_from_this()](const asio::error_code &error) {
--- a/tools/backend_standin/backendserver.cpp
+++ b/tools/backend_standin/backendserver.cpp
@@ -126,13 +126,14 @@
 std::string BackendServer::executions() const
 {
     Json listed = Json::array();
-    core_.executions.forEach([&listed](const std::string &tag, const std::string &callPath, std::uint64_t count) {
+    for (const auto &[key, execution] : core_.executions.counts()) {
         Json entry = Json::object();
-        entry["tag"] = tag;
-        entry["path"] = callPath;
-        entry["count"] = count;
+        entry["tag"] = key.first;
+        entry["path"] = key.second;
+        entry["repeatable"] = execution.repeatable;
+        entry["count"] = execution.count;
         listed.push_back(std::move(entry));
-    });
+    }
     Json report = Json::object();
     report["server"] = core_.settings.name;
     report["executions"] = std::move(listed);
--- a/tools/backend_standin/executionlog.h
+++ b/tools/backend_standin/executionlog.h
@@ -10,6 +10,11 @@
 namespace Hibiscus
 {
 
+struct ExecutionCount {
+    bool repeatable = false;
+    std::uint64_t count = 0;
+};
+
 /** Counts how often each request was run, by tag and call path, so that double runs are visible. */
 class ExecutionLog
 {
@@ -18,19 +23,18 @@
     explicit ExecutionLog(const std::string &file);
 
     /** Counts one execution at its start. */
-    void add(const std::string &tag, const std::string &callPath);
+    void add(const std::string &tag, const std::string &callPath, bool repeatable);
 
-    /** Calls @p visit with every (tag, call path) and its count. */
-    template<class Visit>
-    void forEach(Visit visit) const
+    /** Counts by tag and call path. */
+    const std::map<std::pair<std::string, std::string>, ExecutionCount> &counts() const
     {
-        for (const auto &[key, count] : counts_) {
-            visit(key.first, key.second, count);
-        }
+        return counts_;
     }
 
 private:
-    std::map<std::pair<std::string, std::string>, std::uint64_t> counts_;
+    void count(const std::string &tag, const std::string &callPath, bool repeatable);
+
+    std::map<std::pair<std::string, std::string>, ExecutionCount> counts_;
     std::ofstream file_;
 };
 
--- /dev/null
+++ b/tools/caller/autotests/loadgeneratortest.cpp
@@ -0,0 +1,195 @@
+#include "caller/loadgenerator.h"
+#include "backend_standin/answertree.h"
+#include "backend_standin/backendserver.h"
+
+#include <set>
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace Hibiscus;
+
+namespace
+{
+
+/** Requires an identity, refuses the first request with it as not run, and answers the next one. */
+class StrictDaemon : public HttpHandler
+{
+public:
+    void handle(HttpRequest request, HttpResponder respond) override
+    {
+        HttpResponse response;
+        const std::string tag(request.headers.find(kTagHeader).value_or(""));
+        const auto identity = request.headers.find("Hibiscus-Request-Id");
+        response.headers.add("Hibiscus-Outcome", "not-run");
+        if (!identity) {
+            response.status = 428;
+            response.headers.add("Hibiscus-Request-Id", "id-" + tag);
+        } else if (*identity == "id-" + tag && refused_.insert(tag).second) {
+            response.status = 503;
+        } else {
+            response = answer(tag, request.body);
+        }
+        respond(std::move(response));
+    }
+
+private:
+    static HttpResponse answer(const std::string &tag, const std::string &requestBody)
+    {
+        HttpResponse response;
+        response.status = 200;
+        response.body = makeAnswer(tag, requestBody, {}, 0);
+        response.headers.add("Hibiscus-Outcome", "completed");
+        response.headers.add(kTagHeader, tag);
+        response.headers.add(kDigestHeader, answerDigest(response.body));
+        return response;
+    }
+
+    std::set<std::string> refused_;
+};
+
+CallerSettings settingsOf(const std::string &text)
+{
+    const auto settings = parseCallerSettings(text);
+    REQUIRE(settings.has_value());
+    return *settings;
+}
+
+nlohmann::json runToEnd(asio::io_context &context, const CallerSettings &settings)
+{
+    LoadGenerator generator(context, settings);
+    REQUIRE(generator.problem().empty());
+    generator.start([&context] { context.stop(); });
+    context.restart();
+    context.run();
+    return generator.report();
+}
+
+void noCrash()
+{
+    FAIL("no request may crash the server");
+}
+
+} // namespace
+
+TEST_CASE("LoadGenerator: a request is sent again with the identity that it was given")
+{
+    // Guards against resends under a new identity, which the layer would have to run twice.
+    asio::io_context context(1);
+    StrictDaemon daemon;
+    HttpServer server(context, {HostAddress("127.0.0.1:0")}, daemon);
+    CallerSettings settings = settingsOf(R"({"duration_ms": 200, "classes": [
+        {"name": "deposits", "method": "POST", "path": "/svc/deposit-desk/deposits", "rate": 200, "body_bytes": 40}]})");
+    settings.targets = {server.open().value()};
+    const auto report = runToEnd(context, settings);
+    const auto &deposits = report.at("classes").at("deposits");
+    CHECK(deposits.at("offered") > 0);
+    CHECK(deposits.at("completed") == deposits.at("offered"));
+    CHECK(deposits.at("identities_fetched") == deposits.at("offered"));
+    CHECK(deposits.at("resends") == deposits.at("offered"));
+    CHECK(report.at("wrong_answers") == 0);
+}
+
+TEST_CASE("LoadGenerator: without the layer, resends go to other servers and double runs show")
+{
+    // Guards against a baseline that hides the double runs that the layer is measured against.
+    asio::io_context context(1);
+    const std::string fast = R"({"service_time": {"distribution": "fixed", "mean_ms": 0}, "routes": [{"method": "POST",
+        "calls": [{"service": "missing"}]}]})";
+    BackendServer first(context, *parseBackendSettings(fast), noCrash);
+    BackendServer second(context, *parseBackendSettings(fast), noCrash);
+    CallerSettings settings = settingsOf(R"({"duration_ms": 200, "resends": 1, "classes": [
+        {"name": "holds", "method": "POST", "path": "/svc/adoptions/holds", "rate": 100},
+        {"name": "browsing", "path": "/svc/adoptions/listings", "rate": 100}]})");
+    settings.servers[ServiceName("adoptions")] = {first.open().value(), second.open().value()};
+    settings.executions = settings.servers[ServiceName("adoptions")];
+    settings.mode = CallerMode::Baseline;
+    const auto report = runToEnd(context, settings);
+    const auto &holds = report.at("classes").at("holds");
+    const auto &browsing = report.at("classes").at("browsing");
+    CHECK(browsing.at("completed") == browsing.at("offered"));
+    CHECK(browsing.at("offered") > 0);
+    CHECK(holds.at("failed") == holds.at("offered"));
+    CHECK(report.at("executions").at("double_runs") == holds.at("offered"));
+    CHECK(report.at("executions").at("servers_not_read").empty());
+
+    settings.mode = CallerMode::Direct;
+    settings.tagPrefix = "direct";
+    CHECK(runToEnd(context, settings).at("resends") == 0);
+}
+
+TEST_CASE("judge: answers are believed only as far as they are the request's own and whole")
+{
+    // Guards against goodput that counts answers of other requests or cut ones.
+    const std::string whole = makeAnswer("t1", "body", {makeAnswer("t1.0", "t1.0", {}, 0)}, 5);
+    const std::string swappedChild = makeAnswer("t1", "body", {makeAnswer("t2.0", "t2.0", {}, 0)}, 5);
+    struct Case {
+        const char *name;
+        int status;
+        const char *outcome;
+        const char *tag;
+        std::string body;
+        Verdict verdict;
+    };
+    const Case cases[] = {
+        {"whole", 200, "completed", "t1", whole, Verdict::Completed},
+        {"tag of another request", 200, "completed", "t2", whole, Verdict::Wrong},
+        {"no tag", 200, "completed", "", whole, Verdict::Wrong},
+        {"cut", 200, "completed", "t1", whole.substr(0, whole.size() - 1), Verdict::Wrong},
+        {"downstream answer of another request", 200, "completed", "t1", swappedChild, Verdict::Wrong},
+        {"error status of a server", 502, "completed", "t1", "", Verdict::Failed},
+        {"not run", 503, "not-run", "", "", Verdict::NotRun},
+        {"unknown", 504, "unknown", "", "", Verdict::Unknown},
+        {"no outcome", 200, "", "t1", whole, Verdict::Unknown},
+    };
+    for (const Case &answer : cases) {
+        CAPTURE(answer.name);
+        HttpResponse response{answer.status, {}, answer.body};
+        response.headers.add("Hibiscus-Outcome", answer.outcome);
+        response.headers.add(kDigestHeader, answerDigest(answer.body));
+        if (*answer.tag != '\0') {
+            response.headers.add(kTagHeader, answer.tag);
+        }
+        CHECK(judge(response, {"t1", "body", true}).verdict == answer.verdict);
+    }
+    CHECK(judge(tl::unexpected(TransportError::NotWritten), {}).verdict == Verdict::Unreachable);
+    CHECK(judge(tl::unexpected(TransportError::TimedOut), {}).verdict == Verdict::Unknown);
+}
+
+TEST_CASE("ExecutionCheck: finds double runs across servers and requests said not to have run")
+{
+    // Guards against a comparison that looks at each server alone.
+    const std::string once = R"({"wrong_downstream_answers": 1, "executions": [
+        {"tag": "t1", "path": "desk POST /a", "repeatable": false, "count": 1},
+        {"tag": "t2", "path": "desk GET /b", "repeatable": true, "count": 2}]})";
+    ExecutionCheck check;
+    CHECK(check.add(once));
+    CHECK(check.doubleRuns() == 0);
+    CHECK(check.add(once));
+    CHECK(check.doubleRuns() == 1);
+    CHECK(check.falseNotRun({"t2", "t3"}) == 1);
+    CHECK_FALSE(check.add("{}"));
+    CHECK(check.report({}).at("wrong_downstream_answers") == 2);
+}
+
+TEST_CASE("ArrivalProcess: the surge multiplies the rate, and a seed gives the same arrivals")
+{
+    // Guards against runs that can't be repeated and surges of another size than stated.
+    const auto countUntil = [](ArrivalProcess &arrivals, TimePoint end) {
+        int count = 0;
+        for (; arrivals.next() < end; arrivals.pop()) {
+            ++count;
+        }
+        return count;
+    };
+    const ArrivalSettings settings{1000, 3, TimePoint{2000}, TimePoint{4000}};
+    ArrivalProcess arrivals(settings, 7);
+    ArrivalProcess same(settings, 7);
+    const int before = countUntil(arrivals, {2000});
+    const int during = countUntil(arrivals, {4000});
+    const int after = countUntil(arrivals, {6000});
+    CHECK(before == doctest::Approx(2000).epsilon(0.1));
+    CHECK(during == doctest::Approx(6000).epsilon(0.1));
+    CHECK(after == doctest::Approx(2000).epsilon(0.1));
+    CHECK(countUntil(same, {6000}) == before + during + after);
+}
--- /dev/null
+++ b/tools/caller/loadstats.cpp
@@ -0,0 +1,112 @@
+#include "caller/loadstats.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace Hibiscus
+{
+
+namespace
+{
+
+void countWindow(std::vector<std::uint64_t> &windows, TimePoint time)
+{
+    const auto index = static_cast<std::size_t>(std::max(0.0, time.value) / kWindow.value);
+    if (windows.size() <= index) {
+        windows.resize(index + 1);
+    }
+    ++windows[index];
+}
+
+/** Value at a quantile in [0, 1] of sorted values; 0 if there are none. */
+double quantile(const std::vector<double> &sorted, double position)
+{
+    if (sorted.empty()) {
+        return 0;
+    }
+    return sorted[static_cast<std::size_t>(position * static_cast<double>(sorted.size() - 1))];
+}
+
+} // namespace
+
+LoadStats::LoadStats(std::string name)
+    : name_(std::move(name))
+{
+}
+
+void LoadStats::offered(TimePoint due, bool dropped)
+{
+    ++offered_;
+    dropped_ += dropped ? 1 : 0;
+    countWindow(offeredByWindow_, due);
+}
+
+void LoadStats::resent()
+{
+    ++resends_;
+}
+
+void LoadStats::identityFetched()
+{
+    ++identities_;
+}
+
+void LoadStats::ended(Verdict verdict, TimePoint due, TimePoint now)
+{
+    switch (verdict) {
+    case Verdict::Completed:
+        ++completed_;
+        latencies_.push_back((now - due).value);
+        countWindow(completedByWindow_, now);
+        return;
+    case Verdict::Failed:
+        ++failed_;
+        return;
+    case Verdict::Wrong:
+        ++wrong_;
+        return;
+    case Verdict::NotRun:
+    case Verdict::IdentityRequired:
+        ++notRun_;
+        return;
+    case Verdict::Unknown:
+        ++unknown_;
+        return;
+    case Verdict::Unreachable:
+        ++unreachable_;
+        return;
+    }
+}
+
+void LoadStats::saidNotRun(std::string tag)
+{
+    notRunTags_.insert(std::move(tag));
+}
+
+nlohmann::json LoadStats::report() const
+{
+    std::vector<double> sorted = latencies_;
+    std::sort(sorted.begin(), sorted.end());
+    nlohmann::json latency = nlohmann::json::object();
+    latency["p50"] = quantile(sorted, 0.5);
+    latency["p99"] = quantile(sorted, 0.99);
+    latency["max"] = quantile(sorted, 1);
+    nlohmann::json report = nlohmann::json::object();
+    report["offered"] = offered_;
+    report["dropped_by_caller"] = dropped_;
+    report["completed"] = completed_;
+    report["failed"] = failed_;
+    report["wrong"] = wrong_;
+    report["not_run"] = notRun_;
+    report["unknown"] = unknown_;
+    report["unreachable"] = unreachable_;
+    report["resends"] = resends_;
+    report["identities_fetched"] = identities_;
+    report["latency_ms"] = std::move(latency);
+    report["goodput"] = completedByWindow_;
+    return report;
+}
+
+} // namespace Hibiscus
