--- a/src/ctl/autotests/testsupport.h
+++ b/src/ctl/autotests/testsupport.h
@@ -106,7 +106,7 @@
     void confirm(const std::string &domain, int version)
     {
         const std::string key = "confirm/" + domain;
-        const std::string value = R"({"version": )" + std::to_string(version) + "}";
+        const std::string value = std::to_string(version) + "\nserver\n";
         if (const auto stored = store.get(key)) {
             store.update(key, value, stored->version);
         } else {
--- a/src/ctl/confirmations.cpp
+++ b/src/ctl/confirmations.cpp
@@ -1,5 +1,7 @@
 #include "ctl/confirmations.h"
 
+#include "membership/domainagent.h"
+
 namespace Hibiscus
 {
 
@@ -15,11 +17,8 @@
 
 std::optional<ConfigVersion> parseConfirmation(const std::string &text)
 {
-    const json value = json::parse(text, nullptr, false);
-    if (!value.is_object() || !value.contains("version") || !value["version"].is_number_unsigned()) {
-        return {};
-    }
-    return ConfigVersion(value["version"].get<std::uint64_t>());
+    const ConfigVersion version = DomainAgent::confirmedVersion(text);
+    return version == ConfigVersion() ? std::nullopt : std::optional(version);
 }
 
 } // namespace
@@ -38,7 +37,7 @@
         if (domain.version && *domain.version >= version) {
             continue;
         }
-        const auto stored = store_.get("confirm/" + domain.domain.value());
+        const auto stored = store_.get(DomainAgent::confirmKey(domain.domain));
         if (stored) {
             domain.version = parseConfirmation(stored->value);
         } else if (stored.error() != StoreError::NotFound) {
--- a/src/daemon/autotests/callmessagetest.cpp
+++ b/src/daemon/autotests/callmessagetest.cpp
@@ -14,6 +14,7 @@
 {
     CallMessage message;
     message.attempt = AttemptId(42);
+    message.incarnation = Incarnation(9);
     CallRequest &call = message.call;
     call.service = ServiceName("deposit-desk");
     call.method = "POST";
@@ -39,6 +40,7 @@
     REQUIRE(received.has_value());
     CHECK(received->purpose == CallPurpose::Execute);
     CHECK(received->attempt == sent.attempt);
+    CHECK(received->incarnation == sent.incarnation);
     const CallRequest &call = received->call;
     CHECK(call.service == sent.call.service);
     CHECK(call.path == sent.call.path);
@@ -63,6 +65,7 @@
     };
     const FieldCase cases[] = {
         {HeaderName::kAttempt, nullptr}, {HeaderName::kAttempt, "x"},    {HeaderName::kClass, nullptr},
+        {HeaderName::kIncarnation, nullptr},
         {HeaderName::kRank, "-1"},       {HeaderName::kBucket, "128"},   {HeaderName::kBucket, ""},
         {HeaderName::kAllowance, "-1"},  {HeaderName::kDeadline, "1ms"}, {HeaderName::kRequestId, "a/b"},
     };
--- a/src/daemon/callattempts.cpp
+++ b/src/daemon/callattempts.cpp
@@ -100,7 +100,7 @@
 
 void CallAttempts::send(const AttemptPtr &attempt)
 {
-    CallMessage message{CallPurpose::Execute, attempt->id, call_};
+    CallMessage message{CallPurpose::Execute, attempt->id, attempt->server.incarnation, call_};
     message.call.allowance = attempt->granted;
     if (attempt->server.name == services_.self.server) {
         services_.gateway.execute(std::move(message),
@@ -221,7 +221,7 @@
         logEvent(LogEvent::ConnectionSilent,
                  "outcome of attempt " + std::to_string(attempt->id.value()) + " on "
                      + attempt->server.name.value() + " came over a new connection");
-        onAnswer(attempt, decodeAnswer(std::move(*result)));
+        onAnswer(attempt, believedAnswer(*attempt, decodeAnswer(std::move(*result))));
         return;
     }
     ++attempt->failedQueries;
@@ -235,6 +235,16 @@
     onAnswer(attempt, std::move(answer));
 }
 
+CallAnswer CallAttempts::believedAnswer(const Attempt &attempt, CallAnswer answer) const
+{
+    // After a pause of this process the record of the attempt may have expired, and "never seen" says nothing.
+    if (answer.outcome() == Outcome::NotRun
+        && services_.clock.now() - attempt.started > AttemptTable::kReportValidity) {
+        answer.response = tl::unexpected(ErrorKind::ConnectionLost);
+    }
+    return answer;
+}
+
 void CallAttempts::endAttempt(const AttemptPtr &attempt, const CallAnswer &answer, bool connected)
 {
     attempt->ended = true;
--- a/src/daemon/callattempts.h
+++ b/src/daemon/callattempts.h
@@ -51,6 +51,7 @@
     void armQueryTimer(const AttemptPtr &attempt, Millis delay);
     void queryOutcome(const AttemptPtr &attempt);
     void onOutcome(const AttemptPtr &attempt, HttpResult result);
+    CallAnswer believedAnswer(const Attempt &attempt, CallAnswer answer) const;
     void endAttempt(const AttemptPtr &attempt, const CallAnswer &answer, bool connected);
     void afterFailure(ErrorKind kind, bool mayRetry);
     void finish(CallAnswer answer);
--- a/src/daemon/callmessage.cpp
+++ b/src/daemon/callmessage.cpp
@@ -86,6 +86,7 @@
         headers.set(HeaderName::kCoordinate, "1");
     } else {
         headers.set(HeaderName::kAttempt, std::to_string(message.attempt.value()));
+        headers.set(HeaderName::kIncarnation, std::to_string(message.incarnation.value()));
     }
     headers.set(HeaderName::kClass, call.root.requestClass.value());
     headers.set(HeaderName::kRank, std::to_string(call.root.rank));
@@ -110,12 +111,14 @@
     const HttpHeaders &headers = request.headers;
     const auto attempt = parseNumber<std::uint64_t>(headers.find(HeaderName::kAttempt));
     const bool coordinate = headers.find(HeaderName::kCoordinate).has_value();
+    const auto incarnation = parseNumber<std::uint64_t>(headers.find(HeaderName::kIncarnation));
     const auto rank = parseNumber<int>(headers.find(HeaderName::kRank));
     const auto bucket = parseNumber<int>(headers.find(HeaderName::kBucket));
     const auto allowance = parseNumber<int>(headers.find(HeaderName::kAllowance));
     const auto deadline = parseNumber<double>(headers.find(HeaderName::kDeadline));
     const auto requestClass = headers.find(HeaderName::kClass);
-    if (!target || (!attempt && !coordinate) || !rank || !bucket || !allowance || !deadline || !requestClass) {
+    const bool addressed = coordinate || (attempt && incarnation);
+    if (!target || !addressed || !rank || !bucket || !allowance || !deadline || !requestClass) {
         return tl::unexpected(ErrorKind::BadRequest);
     }
     if (*bucket < 0 || *bucket >= kBuckets || *allowance < 0 || *rank < 0) {
@@ -125,6 +128,7 @@
     CallMessage message;
     message.purpose = coordinate ? CallPurpose::Coordinate : CallPurpose::Execute;
     message.attempt = AttemptId(attempt.value_or(0));
+    message.incarnation = Incarnation(incarnation.value_or(0));
     CallRequest &call = message.call;
     if (const auto identity = headers.find(HeaderName::kRequestId)) {
         call.root.identity = parseRequestIdentity(*identity);
--- a/src/daemon/callmessage.h
+++ b/src/daemon/callmessage.h
@@ -18,6 +18,7 @@
 struct CallMessage {
     CallPurpose purpose = CallPurpose::Execute;
     AttemptId attempt;
+    Incarnation incarnation; ///< Process that the attempt is meant for; another one must not run it.
     CallRequest call;
 };
 
--- a/src/daemon/controlloop.cpp
+++ b/src/daemon/controlloop.cpp
@@ -1,6 +1,7 @@
 #include "daemon/controlloop.h"
 
 #include "core/logevent.h"
+#include "membership/membershiplimits.h"
 #include "rpc/controlcodec.h"
 #include "rpc/controlserver.h"
 
--- a/src/daemon/servergateway.cpp
+++ b/src/daemon/servergateway.cpp
@@ -83,7 +83,9 @@
 {
     const CallMessage &message = pending->message;
     const BeginResult begun = tables_.attempts.with(
-        [&](AttemptTable &attempts) { return attempts.begin(message.attempt, !message.call.repeatable); });
+        [&](AttemptTable &attempts) {
+            return attempts.begin(message.attempt, message.incarnation, !message.call.repeatable);
+        });
     if (begun != BeginResult::Begun) {
         const bool duplicate = begun == BeginResult::AlreadyBegun;
         CallAnswer answer;
