--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -33,6 +33,9 @@
 {
     HttpObjectStoreSettings result;
     result.address = settings.platform;
+    // The platform sees the host under the address that its peers know.
+    const std::string &peers = settings.peers.value();
+    result.localAddress = peers.substr(0, peers.rfind(':'));
     return result;
 }
 
