Forget the ejection of a removed server; drop a leftover debugging hook

The stateful property of Balancer failed: a server removed while attempts were in flight stayed marked as ejected. A removal now resets everything but the attempts in flight, as a new incarnation does.

--- a/src/admission/admissionlevel.cpp
+++ b/src/admission/admissionlevel.cpp
@@ -148,8 +148,8 @@
 {
     const int allowed = highestAllowed(load);
     const double excess = std::max(0.0, static_cast<double>(load.queued) - kAllowedQueue * completed_);
-    const double target = completed_ - std::min(excess, kDrainShare * completed_)
-        + (getenv("KN") ? atof(getenv("KN")) : 1) * std::sqrt(completed_);
+    const double target =
+        completed_ - std::min(excess, kDrainShare * completed_) + kCountingError * std::sqrt(completed_);
     double expected = expectedAdmitted();
     while (level_ < allowed && expected > target) {
         expected -= perBucketAt(level_);
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -36,17 +36,11 @@
 {
     const ServerSetChange change = servers_.update(servers);
     for (const ServerName &name : change.started) {
-        // Attempts sent to the incarnation before are still to be reported.
-        const int inFlight = this->inFlight(name);
-        Record record;
-        record.inFlight = inFlight;
-        record.since = clock_.now();
-        records_.insert_or_assign(name, record);
-        levels_.forget(name);
+        reset(name);
     }
     for (const ServerName &name : change.removed) {
-        levels_.forget(name);
-        if (records_[name].inFlight == 0) {
+        reset(name);
+        if (inFlight(name) == 0) {
             records_.erase(name);
         }
     }
@@ -171,6 +165,16 @@
     return found != records_.end() && found->second.ejected;
 }
 
+/** Forgets all but the attempts in flight, which are still to be reported. */
+void Balancer::reset(const ServerName &name)
+{
+    Record record;
+    record.inFlight = inFlight(name);
+    record.since = clock_.now();
+    records_.insert_or_assign(name, record);
+    levels_.forget(name);
+}
+
 /** Ends an attempt; null if none is known, or if the server has left. */
 Balancer::Record *Balancer::release(const ServerName &name)
 {
--- a/src/routing/balancer.h
+++ b/src/routing/balancer.h
@@ -78,6 +78,7 @@
         const Record *record;
     };
 
+    void reset(const ServerName &name);
     Record *release(const ServerName &name);
     bool mayBeTried(const Record &record) const;
     bool hasFreshHeadroom(const Record &record) const;
