Test that a class is not shed for a lower one, and removal of a server

Two broken mechanisms still went unseen: the highest delayed class as the bound of the level (needs three classes), and the reset of a removed server (connect failures were too rare among the steps). Both are seen now.

--- a/src/admission/autotests/admissionleveltest.cpp
+++ b/src/admission/autotests/admissionleveltest.cpp
@@ -70,6 +70,21 @@
     }
 }
 
+TEST_CASE("AdmissionLevel: a class that is not delayed is not shed on account of a lower one")
+{
+    // Guards against a collapse of the throughput of a low class that takes higher ones with it.
+    AdmissionLevel level(3);
+    for (int window = 0; window < 3; ++window) {
+        for (int i = 0; i < 3 * kBucketsPerClass; ++i) {
+            level.recordArrival({i});
+        }
+        WindowLoad load{.length = kAdmissionWindow, .completed = 10, .limit = 100, .classes = {{}, {}, {}}};
+        load.classes[0] = {.waitSum = 50, .waits = 1};
+        level.closeWindow(load);
+    }
+    CHECK(level.value() == levelOf(1, 0));
+}
+
 TEST_CASE("AdmissionLevel: free capacity lets back as much as fits, even of load that is shed upstream")
 {
     // Guards against oscillation: the refused load is invisible here, but still there.
--- a/src/routing/autotests/balancertest.cpp
+++ b/src/routing/autotests/balancertest.cpp
@@ -94,7 +94,7 @@
         } else if (op <= 6 && server.inFlight > 0) {
             --server.inFlight;
             server.present ? finish(model, server) : void();
-        } else if (op == 7 && server.inFlight > 0) {
+        } else if (op >= 7 && server.inFlight > 0) {
             --server.inFlight;
             server.present ? failConnect(model, server) : void();
         }
@@ -159,7 +159,7 @@
             fixture.balancer.started(nameOf(number));
         } else if (op <= 6 && server.inFlight > 0) {
             fixture.balancer.finished(nameOf(number), {Level{value % 256}, value % 20, value % 3 != 0});
-        } else if (op == 7 && server.inFlight > 0) {
+        } else if (op >= 7 && server.inFlight > 0) {
             fixture.balancer.connectFailed(nameOf(number));
         }
         checkPick(model, fixture);
