Spread the steps of the property tests evenly

Small integers of RapidCheck stay small in most tests, so steps chosen by ranges of a byte were mostly the first kind.

--- a/src/admission/autotests/admissionqueuetest.cpp
+++ b/src/admission/autotests/admissionqueuetest.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <functional>
 #include <tuple>
 
 using namespace Hibiscus;
@@ -43,30 +44,31 @@
         std::vector<Ticket> model;
         std::uint64_t arrived = 0;
         TimePoint now{0};
-        for (const auto &[op, a, b] : steps) {
+        for (const auto &[choice, a, b] : steps) {
+            const int op = choice % 12;
             const int rank = a % kClasses;
             const auto inClass = [rank](const Ticket &one) { return one.classRank == rank; };
-            if (op < 130) {
+            if (op < 5) {
                 now = now + Millis{b * 1.0};
                 const Ticket ticket{TicketId(++arrived), rank, 0, now, now + Millis{b * 3.0}, {b / 2.0}};
                 const bool fits = std::count_if(model.begin(), model.end(), inClass) < kLength;
                 RC_ASSERT(queue.push(ticket) == fits);
                 model.insert(model.end(), fits ? 1 : 0, ticket);
-            } else if (op < 160 && !model.empty()) {
+            } else if (op < 7 && !model.empty()) {
                 const auto best = std::max_element(model.begin(), model.end(), [](const Ticket &x, const Ticket &y) {
                     return x.classRank < y.classRank;
                 });
                 RC_ASSERT(queue.highestClass() == best->classRank);
                 RC_ASSERT(queue.pop(best->classRank).id == best->id);
                 model.erase(best);
-            } else if (op < 190) {
+            } else if (op < 9) {
                 const TicketId id(b % (arrived + 1));
                 const auto known = takeIds(model, [id](const Ticket &one) { return one.id == id; });
                 RC_ASSERT(queue.cancel(id) == !known.empty());
-            } else if (op < 210) {
+            } else if (op < 10) {
                 const auto late = takeIds(model, [now](const Ticket &one) { return isLate(one, now); });
                 RC_ASSERT(idsOf(queue.takeLate(now)) == late);
-            } else if (op < 240) {
+            } else if (op < 11) {
                 const auto overdue = takeIds(model, [now](const Ticket &one) {
                     return (now - one.arrival).value > (one.classRank == kClasses - 1 ? 1000 : 100);
                 });
--- a/src/admission/autotests/classreservetest.cpp
+++ b/src/admission/autotests/classreservetest.cpp
@@ -79,7 +79,8 @@
         for (const auto &[choice, value] : steps) {
             now = now + Millis{value % 30 * 1.0};
             const int rank = choice % 3;
-            if (choice < 150) {
+            const int op = choice / 3 % 10;
+            if (op < 6) {
                 bool expected = true;
                 for (int cut = rank; cut < 3; ++cut) {
                     const auto held = std::count_if(running.begin(), running.end(),
@@ -91,7 +92,7 @@
                     reserve.started(rank, now);
                     running.emplace_back(rank, now);
                 }
-            } else if (choice < 220 && !running.empty()) {
+            } else if (op < 9 && !running.empty()) {
                 const auto it = running.begin() + value % static_cast<int>(running.size());
                 reserve.finished(it->first, it->second, now, {value % 40 * 1.0});
                 running.erase(it);
