Let the level fall after a stall although nothing completes

Cause: the free capacity was taken from the completions alone, so after a stall without any, a few long requests kept the level up until they ended. A free slot now counts for at least one request per second. Ruled out: ignoring small loads, which would open a slow server to more than it can do.

The new test fails without the change and passes with it.

--- a/src/admission/admissionlevel.cpp
+++ b/src/admission/admissionlevel.cpp
@@ -31,6 +31,10 @@
 // From the highest level to 0 within 10 windows (1 s).
 constexpr int kWindowsToLowest = 10;
 
+// Requests that a free slot takes in a window at least. Without it, a few long requests that do not end in sight would
+// pass for a server without capacity.
+constexpr double kLeastTurnover = 0.1;
+
 double smoothed(double value, double sample, double count)
 {
     return value + std::max(kLeastWeight, count / (count + kSmoothingCount)) * (sample - value);
@@ -172,7 +176,8 @@
         level_ = lowest;
         return;
     }
-    double free = completed_ * (load.limit / inFlight - 1);
+    const double freeSlots = std::max(0.0, load.limit - inFlight);
+    double free = freeSlots * std::max(completed_ / inFlight, kLeastTurnover);
     while (level_ > lowest && free >= perBucketAt(level_ - 1)) {
         free -= perBucketAt(level_ - 1);
         --level_;
--- a/src/admission/autotests/admissionleveltest.cpp
+++ b/src/admission/autotests/admissionleveltest.cpp
@@ -35,7 +35,7 @@
     WindowLoad load{.length = kAdmissionWindow, .completed = completed, .limit = 100, .classes = {{}, {}}};
     load.classes[0] = {.waitSum = window.delayed[0] ? 50.0 : 0, .waits = 1, .meanInFlight = window.lowerInFlight};
     load.classes[1] = {.waitSum = window.delayed[1] ? 50.0 : 0, .waits = 1};
-    load.classes[1].meanInFlight = 100.0 * completed / window.capacity - window.lowerInFlight;
+    load.classes[1].meanInFlight = 100.0 * completed / std::max(1, window.capacity) - window.lowerInFlight;
     level.closeWindow(load);
     return admitted;
 }
@@ -104,6 +104,21 @@
     }
 }
 
+TEST_CASE("AdmissionLevel: requests that take long do not hold it up after a stall")
+{
+    // Guards against a recovery that waits for the next completion.
+    AdmissionLevel level(2);
+    for (int i = 0; i < 20; ++i) {
+        runWindow(level, {.perBucket = {5, 1}, .delayed = {true, false}, .lowerInFlight = 100, .capacity = 0});
+    }
+    CHECK(level.value() > Level{0});
+    WindowLoad load{.length = kAdmissionWindow, .limit = 100, .classes = {{}, {.meanInFlight = 5}}};
+    for (int i = 0; i < 20; ++i) {
+        level.closeWindow(load);
+    }
+    CHECK(level.value() == Level{0});
+}
+
 TEST_CASE("AdmissionLevel: it stays in range, rises only with delay, and idle windows open it within 1 s")
 {
     // Guards against a level that refuses everything for good.
