ctl: read confirm objects with the version in the first line as well

Cause: the domain agent of the membership library writes the version and then the roster, one line each; the tool read JSON only, so every change would have stayed pending. Before: JSON with the key version. After: both forms; anything else counts as not confirmed.

--- a/src/ctl/autotests/applycommandtest.cpp
+++ b/src/ctl/autotests/applycommandtest.cpp
@@ -67,6 +67,24 @@
     CHECK(stored(bench).version == ConfigVersion(2));
 }
 
+TEST_CASE("apply: both forms of a confirm object are read, and nothing else is taken for one")
+{
+    // Guards against a change that stays pending for ever, or is accepted on a value that can't be read.
+    struct Case {
+        const char *value;
+        bool confirmed;
+    };
+    for (const Case &c : {Case{R"({"version": 1, "roster": ["desk-1"]})", true}, Case{"1\ndesk-1\ndesk-2\n", true},
+                          Case{"2", true}, Case{"0\ndesk-1", false}, Case{"-1", false}, Case{"1.5", false},
+                          Case{"desk-1\n1", false}, Case{"[1]", false}, Case{"", false}, Case{"{}", false}}) {
+        CAPTURE(c.value);
+        Bench bench;
+        bench.confirm("a", 1);
+        bench.store.create("confirm/b", c.value);
+        CHECK((apply(bench, exampleRequest(10, {})).code == ExitCode::Success) == c.confirmed);
+    }
+}
+
 TEST_CASE("apply: an existing configuration is only replaced on the base that the author names")
 {
     // Guards against files that silently undo a change which their author has not seen.
--- a/src/ctl/confirmations.cpp
+++ b/src/ctl/confirmations.cpp
@@ -13,13 +13,18 @@
 /** Time between two progress lines while nothing changes. */
 constexpr Millis kProgressInterval{5000};
 
+/** Version of a confirm object: JSON with the key "version", or a first line with nothing but the version. */
 std::optional<ConfigVersion> parseConfirmation(const std::string &text)
 {
-    const json value = json::parse(text, nullptr, false);
-    if (!value.is_object() || !value.contains("version") || !value["version"].is_number_unsigned()) {
-        return {};
+    const json whole = json::parse(text, nullptr, false);
+    if (whole.is_object()) {
+        const auto found = whole.find("version");
+        return found != whole.end() && found->is_number_unsigned()
+            ? std::optional<ConfigVersion>(found->get<std::uint64_t>())
+            : std::nullopt;
     }
-    return ConfigVersion(value["version"].get<std::uint64_t>());
+    const json firstLine = json::parse(text.substr(0, text.find('\n')), nullptr, false);
+    return firstLine.is_number_unsigned() ? std::optional<ConfigVersion>(firstLine.get<std::uint64_t>()) : std::nullopt;
 }
 
 } // namespace
