--- /dev/null
+++ b/src/admission/concurrencylimit.h
@@ -0,0 +1,85 @@
+#ifndef HIBISCUS_ADMISSION_CONCURRENCYLIMIT_H
+#define HIBISCUS_ADMISSION_CONCURRENCYLIMIT_H
+
+#include "admission/ticket.h"
+#include "core/millis.h"
+
+#include <optional>
+
+namespace Hibiscus
+{
+
+/**
+ * How many requests the backend server may run at a time, learned from their own service time. Time spent waiting for
+ * child calls is left out, so a slow deep service does not shrink the limit, and nothing that the server says about
+ * its load is used.
+ *
+ * A back-off for a long service time is a trial: if the throughput falls with the limit, then the server was not
+ * overloaded (the mix of requests changed, or the server is slower at any load), and the limit is restored.
+ */
+class ConcurrencyLimit
+{
+public:
+    ConcurrencyLimit(int slots, TimePoint now);
+
+    /** Whole requests, from 1 to the slots. */
+    int value() const;
+
+    void setSlots(int slots);
+
+    /** Begins a cold start: half the slots, rising to all of them over 10 s. The learned times are dropped.
+     */
+    void startCold(TimePoint now);
+
+    /** Takes the sample of a request that ended while @p othersInFlight ran. */
+    void record(const ServiceSample &sample, int othersInFlight);
+
+    /** Closes a measurement window in which at most @p peakInFlight requests ran at a time. */
+    void closeWindow(TimePoint now, int peakInFlight);
+
+private:
+    /** Measures the throughput at the present limit and then at a lower one. */
+    struct Trial {
+        double limitBefore = 0;
+        std::optional<double> rateBefore{}; ///< Completed requests per ms.
+        TimePoint begin{}; ///< Of the measurement.
+        TimePoint end{}; ///< At the latest.
+        int completed = 0;
+        Millis measured{};
+    };
+
+    double lowest() const;
+    double ceiling(TimePoint now) const;
+    void backOffAfterShed(int othersInFlight);
+    void smoothOwnTime(TimePoint now);
+    bool knowsOwnTime(TimePoint now) const;
+    void learnBaseline(TimePoint now);
+    void forgetOwnTime(TimePoint now);
+    bool isSlow() const;
+    void measureRate(TimePoint now);
+    void judgeTrial(TimePoint now);
+    void raise();
+
+    int slots_;
+    double limit_;
+    double raiseShare_; ///< Part of the slots by which the next window raises the limit.
+    std::optional<TimePoint> coldSince_;
+    std::optional<double> limitBeforeShed_; ///< Set if the server shed load in the open window.
+    std::optional<Trial> trial_;
+    int failedTrials_ = 0; ///< Consecutive.
+    // Own service times in the open window, in ms.
+    TimePoint windowStart_;
+    double windowSum_ = 0;
+    int windowCount_ = 0;
+    double ownTime_ = 0; ///< Smoothed, in ms.
+    int ownTimeSamples_ = 0;
+    TimePoint learningSince_;
+    // Minimum of the smoothed own service time in this period and in the one before.
+    std::optional<double> minimum_;
+    std::optional<double> previousMinimum_;
+    TimePoint periodStart_;
+};
+
+} // namespace Hibiscus
+
+#endif
--- a/src/ctl/confirmations.cpp
+++ b/src/ctl/confirmations.cpp
@@ -1,5 +1,7 @@
 #include "ctl/confirmations.h"
 
+#include "membership/domainagent.h"
+
 namespace Hibiscus
 {
 
@@ -13,18 +15,10 @@
 /** Time between two progress lines while nothing changes. */
 constexpr Millis kProgressInterval{5000};
 
-/** Version of a confirm object: JSON with the key "version", or a first line with nothing but the version. */
 std::optional<ConfigVersion> parseConfirmation(const std::string &text)
 {
-    const json whole = json::parse(text, nullptr, false);
-    if (whole.is_object()) {
-        const auto found = whole.find("version");
-        return found != whole.end() && found->is_number_unsigned()
-            ? std::optional<ConfigVersion>(found->get<std::uint64_t>())
-            : std::nullopt;
-    }
-    const json firstLine = json::parse(text.substr(0, text.find('\n')), nullptr, false);
-    return firstLine.is_number_unsigned() ? std::optional<ConfigVersion>(firstLine.get<std::uint64_t>()) : std::nullopt;
+    const ConfigVersion version = DomainAgent::confirmedVersion(text);
+    return version == ConfigVersion() ? std::nullopt : std::optional(version);
 }
 
 } // namespace
@@ -43,7 +37,7 @@
         if (domain.version && *domain.version >= version) {
             continue;
         }
-        const auto stored = store_.get("confirm/" + domain.domain.value());
+        const auto stored = store_.get(DomainAgent::confirmKey(domain.domain));
         if (stored) {
             domain.version = parseConfirmation(stored->value);
         } else if (stored.error() != StoreError::NotFound) {
