--- a/src/platform/httpobjectstore.cpp
+++ b/src/platform/httpobjectstore.cpp
@@ -161,14 +161,14 @@
     /** Returns when no call runs any more. */
     void interruptAll()
     {
-        std::unique_lock lock(mutex);
-        interrupted = true;
-        while (!running.empty()) {
-            for (httplib::Client *client : running) {
+        std::unique_lock lock(mutex_);
+        interrupted_ = true;
+        while (!running_.empty()) {
+            for (httplib::Client *client : running_) {
                 client->stop();
             }
             // stop() has no effect on a client that is still connecting, hence the repetition.
-            left.wait_for(lock, kStopInterval);
+            left_.wait_for(lock, kStopInterval);
         }
     }
 
@@ -177,25 +177,25 @@
 private:
     bool enter(httplib::Client *client)
     {
-        const std::lock_guard lock(mutex);
-        if (interrupted) {
+        const std::lock_guard lock(mutex_);
+        if (interrupted_) {
             return false;
         }
-        running.insert(client);
+        running_.insert(client);
         return true;
     }
 
     void leave(httplib::Client *client)
     {
-        const std::lock_guard lock(mutex);
-        running.erase(client);
-        left.notify_all();
+        const std::lock_guard lock(mutex_);
+        running_.erase(client);
+        left_.notify_all();
     }
 
-    std::mutex mutex;
-    std::condition_variable left;
-    std::set<httplib::Client *> running;
-    bool interrupted = false;
+    std::mutex mutex_;
+    std::condition_variable left_;
+    std::set<httplib::Client *> running_;
+    bool interrupted_ = false;
 };
 
 HttpObjectStore::HttpObjectStore(HttpObjectStoreSettings settings)
