Pass on corrected crash times; test incremental differences

A trial with a clearing that got no new revision went unseen, because the test exchanged full states only. It now keeps the revisions of each pair between exchanges. That showed that a receiver never learns when a copy that arrives later dates a crash earlier; corrections of 1 s and more now count as a change. Smaller ones do not, as ordinary transit times would be exchanged for ever.

The bound of stored answers beyond the reservations was not tested either; two fault cases cover it now.

--- a/src/execution/autotests/arbitertest.cpp
+++ b/src/execution/autotests/arbitertest.cpp
@@ -44,8 +44,13 @@
                 : result.state == ClaimState::Wait       ? "wait"
                 : result.state == ClaimState::Completed  ? "done" + std::to_string(result.answer->status)
                                                          : std::string(answerFor(*result.error).name);
-        } else if (call == 'C' || call == 'L') { // Complete, with a small or a large answer.
-            const StoredAnswer stored{static_cast<int>(id.value()), {}, std::string(call == 'L' ? 600 : 1, 'x')};
+        } else if (call == 'C' || call == 'M' || call == 'L') { // Complete, with a small, medium or large answer.
+            const StoredAnswer stored{static_cast<int>(id.value()),
+                                      {},
+                                      std::string(call == 'L'       ? 600
+                                                      : call == 'M' ? 400
+                                                                    : 1,
+                                                  'x')};
             answer = arbiter.complete(tap, "", id, stored) ? "ok" : "no";
         } else if (call == 'N') {
             answer = arbiter.markNotRun(tap, "", id) ? "ok" : "no";
@@ -73,9 +78,7 @@
 TEST_CASE("Arbiter: fault cases")
 {
     const struct {
-        const char *guardsAgainst;
-        const char *script;
-        const char *answers;
+        std::string guardsAgainst, script, answers;
     } cases[] = {
         {"two runs of one request", "c1 c2 c1", "run1 wait run1"},
         {"a second run after completion", "c1 C1 c2 c1", "run1 ok done1 done1"},
@@ -97,6 +100,8 @@
         {"attempts given twice for a repeated message", "m1 m1 t2 t2", "run40 run40 24 24"},
         {"attempts restored for an unknown outcome", "m1 U1 r1", "run40 ok 24"},
         {"answers beyond the memory bound", "c1 k2 j3 C1 j3", "run1 run1 overloaded ok run1"},
+        {"an answer in the room reserved for another", "c1 k2 M1 c3", "run1 run1 no internal"},
+        {"an answer lost although there is room", "c1 M1 c2", "run1 ok done1"},
         {"a record dropped for another", "c1 C1 k2 o0 c4", "run1 ok run1 overloaded done1"},
         {"a run for an identity of another process", "o1 o2", "arbiter-lost arbiter-lost"},
         {"a run for an identity that was made up", "o3 o4", "bad-request bad-request"},
--- a/src/execution/autotests/atmostoncetest.cpp
+++ b/src/execution/autotests/atmostoncetest.cpp
@@ -20,7 +20,7 @@
     int completed = 0, repeated = 0, notRun = 0, unknown = 0, fenced = 0, overloaded = 0, exhausted = 0;
 } totals;
 
-constexpr AnswerLimits kAnswers{.totalBytes = 2400, .reservedBytes = 200, .largestBytes = 300};
+constexpr AnswerLimits kAnswers{.totalBytes = 2000, .reservedBytes = 200, .largestBytes = 300};
 constexpr ArbiterLimits kArbiterLimits{.records = 20, .keyBytes = 8, .answers = kAnswers};
 constexpr AttemptLimits kAttemptLimits{.records = 12, .fences = 6, .answers = kAnswers};
 
@@ -172,7 +172,7 @@
             return;
         }
         const StoredAnswer stored{
-            200, {{"padding", std::string(op.b % 12 == 2 ? 400 : 1, 'x')}}, formatRequestIdentity(identity)};
+            200, {{"padding", std::string(op.b % 12 == 2 ? 400 : 60, 'x')}}, formatRequestIdentity(identity)};
         table_->complete(attempt, stored);
         answer(i, attempt, {AttemptOutcome::Completed, std::make_shared<StoredAnswer>(stored)});
     }
--- a/src/execution/autotests/attempttabletest.cpp
+++ b/src/execution/autotests/attempttabletest.cpp
@@ -53,9 +53,7 @@
 TEST_CASE("AttemptTable: fault cases")
 {
     const struct {
-        const char *guardsAgainst;
-        const char *script;
-        const char *answers;
+        std::string guardsAgainst, script, answers;
     } cases[] = {
         {"a late begin after its fence", "q1 B1 q1", "notrun fenced notrun"},
         {"a second run by a duplicate", "B1 B1 C1 B1", "begun again ok again"},
--- a/src/execution/autotests/requestidentitytest.cpp
+++ b/src/execution/autotests/requestidentitytest.cpp
@@ -11,10 +11,11 @@
     CHECK(formatRequestIdentity(identity) == "[::1]:8080/0000000000abcdef/42");
     CHECK(parseRequestIdentity(formatRequestIdentity(identity)) == identity);
 
-    for (const char *text : {"", "/", "//", "a:1", "a:1/0000000000abcdef", "a:1/0000000000abcdef/", "a:1/abcdef/42",
-                             "a:1/0000000000ABCDEF/42", "a:1/0000000000abcdef/042", "a:1/0000000000abcdef/-1",
-                             "a:1/0000000000abcdef/42 ", "a:1/0000000000abcdef/18446744073709551616",
-                             "/0000000000abcdef/42", "a:1/0000000000abcdef/4/2", "a:1/00000000000abcdef/42"}) {
+    for (const std::string text :
+         {"", "/", "//", "a:1", "a:1/0000000000abcdef", "a:1/0000000000abcdef/", "a:1/abcdef/42",
+          "a:1/0000000000ABCDEF/42", "a:1/0000000000abcdef/042", "a:1/0000000000abcdef/-1", "a:1/0000000000abcdef/42 ",
+          "a:1/0000000000abcdef/18446744073709551616", "/0000000000abcdef/42", "a:1/0000000000abcdef/4/2",
+          "a:1/00000000000abcdef/42"}) {
         CAPTURE(text);
         CHECK_FALSE(parseRequestIdentity(text).has_value());
     }
--- a/src/quarantine/autotests/crashledgertest.cpp
+++ b/src/quarantine/autotests/crashledgertest.cpp
@@ -56,6 +56,7 @@
             ledgers_[at] = std::make_unique<CrashLedger>(clock_);
             views_[at] = {};
             reporters_[at] = ++lastReporter_;
+            std::erase_if(revisions_, [at](const auto &r) { return r.first.first == at || r.first.second == at; });
         } else if (op.kind == 11) {
             synchronize();
         }
@@ -155,16 +156,16 @@
         }
     }
 
-    /** Exchanges small differences until nobody has anything new, after which all verdicts agree. */
+    /** Exchanges small differences since the last time until nobody has anything new, after which all verdicts agree.
+     */
     void synchronize()
     {
-        std::map<std::pair<unsigned, unsigned>, std::uint64_t> revisions;
         for (bool isQuiet = false; !isQuiet;) {
             isQuiet = true;
             for (unsigned pair = 0; pair < kLedgers * kLedgers; ++pair) {
                 const unsigned from = pair / kLedgers;
                 const unsigned to = pair % kLedgers;
-                std::uint64_t &revision = revisions[{from, to}];
+                std::uint64_t &revision = revisions_[{from, to}];
                 const CrashDifference news = ledgers_[from]->exportReports(revision, 3);
                 RC_ASSERT(news.reports.size() <= 3U);
                 RC_ASSERT(news.complete || news.revision > revision);
@@ -206,6 +207,7 @@
     std::uint64_t lastReporter_ = 2;
     std::map<std::uint64_t, std::uint64_t> sequences_;
     std::vector<Mail> mail_;
+    std::map<std::pair<unsigned, unsigned>, std::uint64_t> revisions_; ///< Last export from one ledger to another.
 };
 
 } // namespace
--- a/src/quarantine/crashledger.cpp
+++ b/src/quarantine/crashledger.cpp
@@ -7,6 +7,14 @@
 namespace Hibiscus
 {
 
+namespace
+{
+
+// Smaller corrections of the instant of a crash are not passed on, as ordinary transit times would cause them.
+constexpr Millis kAgeTolerance{1000};
+
+} // namespace
+
 CrashLedger::CrashLedger(const Clock &clock, const CrashLimits &limits)
     : clock_(clock)
     , limits_(limits)
@@ -151,15 +159,27 @@
         return false;
     }
     Report &report = reports_.try_emplace(id, Report{crashedAt, {}}).first->second;
-    // Each hop adds its transit time to the apparent instant of the crash, so the earliest copy is the most accurate.
-    report.crashedAt = std::min(report.crashedAt, crashedAt);
-    bool changed = false;
+    bool changed = correctInstant(report, crashedAt);
     for (const Signature &signature : signatures) {
         changed = applyEntry(id, report, signature, cleared) || changed;
     }
     return changed;
 }
 
+bool CrashLedger::correctInstant(Report &report, TimePoint crashedAt)
+{
+    // Each hop adds its transit time to the apparent instant of the crash, so the earliest copy is the most accurate.
+    const Millis correction = report.crashedAt - crashedAt;
+    report.crashedAt = std::min(report.crashedAt, crashedAt);
+    if (correction < kAgeTolerance) {
+        return false;
+    }
+    for (Entry &entry : report.entries) {
+        entry.revision = ++revision_;
+    }
+    return true;
+}
+
 bool CrashLedger::applyEntry(CrashReportId id, Report &report, Signature signature, bool cleared)
 {
     const auto place = report.entries.begin() + (findEntry(report, signature) - report.entries.cbegin());
--- a/src/quarantine/crashledger.h
+++ b/src/quarantine/crashledger.h
@@ -99,6 +99,7 @@
     bool isExpired(const Report &report) const;
     bool isForgotten(CrashReportId id) const;
     bool apply(CrashReportId id, TimePoint crashedAt, const std::vector<Signature> &signatures, bool cleared);
+    bool correctInstant(Report &report, TimePoint crashedAt);
     bool applyEntry(CrashReportId id, Report &report, Signature signature, bool cleared);
     void forgetUpTo(CrashReportId id);
     void rememberForgotten(CrashReportId id);
