--- a/src/membership/autotests/simulation.cpp
+++ b/src/membership/autotests/simulation.cpp
@@ -286,6 +286,7 @@
                 violations.push_back("confirmation of " + domain.value() + " went back");
             }
             confirmed_[domain] = version;
+            noteAccepted();
         }
     }
     return {PlatformResult::Status::Ok, {}, object.version};
@@ -405,6 +406,11 @@
 }
 
 ConfigVersion Simulation::accepted() const
+{
+    return accepted_;
+}
+
+void Simulation::noteAccepted()
 {
     for (auto version = versions_.rbegin(); version != versions_.rend(); ++version) {
         std::vector<FailureDomainName> domains;
@@ -412,10 +418,10 @@
             domains.push_back(domain);
         }
         if (isAccepted(version->first, domains, confirmed_)) {
-            return version->first;
+            accepted_ = version->first;
+            return;
         }
     }
-    return {};
 }
 
 bool Simulation::allCurrent() const
--- a/src/membership/autotests/simulation.h
+++ b/src/membership/autotests/simulation.h
@@ -96,9 +96,6 @@
         PlatformCall call;
         double until;
     };
-    struct Version {
-        std::vector<FailureDomainName> domains;
-    };
 
     std::size_t start(const ServerName &name, const FailureDomainName &domain, const HostAddress &address);
     void at(double delay, std::function<void()> action);
@@ -110,6 +107,7 @@
     void complete(std::size_t process, PlatformCallId id, PlatformResult result);
     PlatformResult apply(const PlatformCall &call);
     void fireWatches();
+    void noteAccepted();
     void writeConfiguration();
     void exitSuperseded(std::size_t process);
     void scheduleTick(std::size_t process);
@@ -127,7 +125,7 @@
     std::vector<HostAddress> seeds_;
     Rosters rosters_;
     std::map<ConfigVersion, Rosters> versions_;
-    ConfigVersion lastRosterChange_;
+    ConfigVersion accepted_;
     std::map<FailureDomainName, ConfigVersion> confirmed_;
 };
 
