--- a/src/daemon/autotests/callmessagetest.cpp
+++ b/src/daemon/autotests/callmessagetest.cpp
@@ -64,10 +64,10 @@
         const char *value; ///< Null removes the field.
     };
     const FieldCase cases[] = {
-        {HeaderName::kAttempt, nullptr}, {HeaderName::kAttempt, "x"},    {HeaderName::kClass, nullptr},
-        {HeaderName::kIncarnation, nullptr},
-        {HeaderName::kRank, "-1"},       {HeaderName::kBucket, "128"},   {HeaderName::kBucket, ""},
-        {HeaderName::kAllowance, "-1"},  {HeaderName::kDeadline, "1ms"}, {HeaderName::kRequestId, "a/b"},
+        {HeaderName::kAttempt, nullptr},     {HeaderName::kAttempt, "x"},    {HeaderName::kClass, nullptr},
+        {HeaderName::kIncarnation, nullptr}, {HeaderName::kRank, "-1"},      {HeaderName::kBucket, "128"},
+        {HeaderName::kBucket, ""},           {HeaderName::kAllowance, "-1"}, {HeaderName::kDeadline, "1ms"},
+        {HeaderName::kRequestId, "a/b"},
     };
     const ManualClock clock;
     for (const FieldCase &testCase : cases) {
--- a/src/daemon/callattempts.cpp
+++ b/src/daemon/callattempts.cpp
@@ -103,12 +103,11 @@
     CallMessage message{CallPurpose::Execute, attempt->id, attempt->server.incarnation, call_};
     message.call.allowance = attempt->granted;
     if (attempt->server.name == services_.self.server) {
-        services_.gateway.execute(std::move(message),
-                                  [self = shared_from_this(), attempt](CallAnswer answer) {
-                                      self->post([attempt, answer = std::move(answer)](CallAttempts &call) mutable {
-                                          call.onAnswer(attempt, std::move(answer));
-                                      });
-                                  });
+        services_.gateway.execute(std::move(message), [self = shared_from_this(), attempt](CallAnswer answer) {
+            self->post([attempt, answer = std::move(answer)](CallAttempts &call) mutable {
+                call.onAnswer(attempt, std::move(answer));
+            });
+        });
         return;
     }
     sendRemote(attempt, message);
@@ -119,23 +118,23 @@
 {
     HttpCallOptions options;
     options.answerTimeout = endBy() - services_.clock.now() + kQueryTimeout;
-    attempt->connection = services_.client.send(
-        attempt->server.address, encodeCall(message, services_.clock), options,
-        [self = shared_from_this(), attempt](HttpResult result) {
-            self->post([attempt, result = std::move(result)](CallAttempts &call) mutable {
-                attempt->connection.reset();
-                if (!result) {
-                    call.onTransportError(attempt, result.error());
-                    return;
-                }
-                const auto echoed = result->headers.find(HeaderName::kAttempt);
-                if (echoed != std::to_string(attempt->id.value())) {
-                    call.onTransportError(attempt, TransportError::MalformedAnswer);
-                    return;
-                }
-                call.onAnswer(attempt, decodeAnswer(std::move(*result)));
-            });
-        });
+    attempt->connection =
+        services_.client.send(attempt->server.address, encodeCall(message, services_.clock), options,
+                              [self = shared_from_this(), attempt](HttpResult result) {
+                                  self->post([attempt, result = std::move(result)](CallAttempts &call) mutable {
+                                      attempt->connection.reset();
+                                      if (!result) {
+                                          call.onTransportError(attempt, result.error());
+                                          return;
+                                      }
+                                      const auto echoed = result->headers.find(HeaderName::kAttempt);
+                                      if (echoed != std::to_string(attempt->id.value())) {
+                                          call.onTransportError(attempt, TransportError::MalformedAnswer);
+                                          return;
+                                      }
+                                      call.onAnswer(attempt, decodeAnswer(std::move(*result)));
+                                  });
+                              });
 }
 
 void CallAttempts::onTransportError(const AttemptPtr &attempt, TransportError error)
@@ -219,8 +218,8 @@
     }
     if (result) {
         logEvent(LogEvent::ConnectionSilent,
-                 "outcome of attempt " + std::to_string(attempt->id.value()) + " on "
-                     + attempt->server.name.value() + " came over a new connection");
+                 "outcome of attempt " + std::to_string(attempt->id.value()) + " on " + attempt->server.name.value()
+                     + " came over a new connection");
         onAnswer(attempt, believedAnswer(*attempt, decodeAnswer(std::move(*result))));
         return;
     }
@@ -300,8 +299,9 @@
     CallAnswer answer = std::move(lastAnswer_);
     answer.response = tl::unexpected(decision.answer);
     if (answer.outcome() == Outcome::Unknown) {
-        logEvent(LogEvent::AttemptOutcomeUnknown, std::string(answerFor(decision.answer).name) + " for "
-                     + call_.method + " " + call_.service.value() + call_.path);
+        logEvent(LogEvent::AttemptOutcomeUnknown,
+                 std::string(answerFor(decision.answer).name) + " for " + call_.method + " " + call_.service.value()
+                     + call_.path);
     }
     finish(std::move(answer));
 }
@@ -311,8 +311,7 @@
     const bool known = answer.outcome() != Outcome::Unknown;
     answer.spent = known ? std::optional(allowance_.spent()) : std::nullopt;
     if (answer.response) {
-        services_.routing.with(
-            [&](RoutingTable &routing) { routing.recordSpent(call_.service, allowance_.spent()); });
+        services_.routing.with([&](RoutingTable &routing) { routing.recordSpent(call_.service, allowance_.spent()); });
     }
     CallCallback callback = std::move(callback_);
     callback_ = nullptr;
--- a/src/daemon/callcoordinator.cpp
+++ b/src/daemon/callcoordinator.cpp
@@ -144,8 +144,7 @@
     const CallRequest &call = claim->call;
     const bool isRoot = call.callPath.empty();
     const ClaimResult result = services_.tables.arbiter.with([&](Arbiter &arbiter) {
-        return arbiter.claim(*call.root.identity, call.callPath, call.signature, claim->id,
-                             isRoot ? kRootAttempts : 1);
+        return arbiter.claim(*call.root.identity, call.callPath, call.signature, claim->id, isRoot ? kRootAttempts : 1);
     });
     switch (result.state) {
     case ClaimState::Granted:
--- a/src/daemon/callhandler.cpp
+++ b/src/daemon/callhandler.cpp
@@ -160,16 +160,17 @@
     call->deadline = started + *deadline;
     call->allowance = kAttemptsPerTap;
     ++activeCalls_;
-    coordinator_.run(std::move(*call), [this, respond = std::move(respond), name, started,
-                                        className = requestClass.name](CallAnswer answer) {
-        const std::optional<ErrorKind> error =
-            answer.response ? std::nullopt : std::optional(answer.response.error());
-        services_.tables.metrics.recordCall(className, error, services_.clock.now() - started);
-        HttpResponse response = callerAnswer(std::move(answer));
-        response.headers.set(HeaderName::kRequestId, name);
-        respond(std::move(response));
-        --activeCalls_;
-    });
+    coordinator_.run(
+        std::move(*call),
+        [this, respond = std::move(respond), name, started, className = requestClass.name](CallAnswer answer) {
+            const std::optional<ErrorKind> error =
+                answer.response ? std::nullopt : std::optional(answer.response.error());
+            services_.tables.metrics.recordCall(className, error, services_.clock.now() - started);
+            HttpResponse response = callerAnswer(std::move(answer));
+            response.headers.set(HeaderName::kRequestId, name);
+            respond(std::move(response));
+            --activeCalls_;
+        });
 }
 
 void CallHandler::handleChild(AttemptId context, HttpRequest request, HttpResponder respond)
@@ -184,11 +185,11 @@
         respond(failure(call.error()));
         return;
     }
-    const int peak = services_.routing.with(
-        [&](const RoutingTable &routing) { return routing.learnedPeak(call->service); });
+    const int peak =
+        services_.routing.with([&](const RoutingTable &routing) { return routing.learnedPeak(call->service); });
     const ChildKey key = childKey(request, *call);
-    std::optional<ChildCall> child = services_.tables.scopes.with(
-        [&](CallScopeTable &scopes) { return scopes.beginChild(context, key, peak); });
+    std::optional<ChildCall> child =
+        services_.tables.scopes.with([&](CallScopeTable &scopes) { return scopes.beginChild(context, key, peak); });
     if (!child) {
         // The attempt has ended, so nobody waits for the result of this call.
         respond(failure(ErrorKind::DeadlineBeforeRun));
@@ -201,13 +202,13 @@
     call->repeatable = repeatable;
     call->allowance = child->granted;
     ++activeCalls_;
-    coordinator_.run(std::move(*call), [this, respond = std::move(respond), context, repeatable,
-                                        child = *child](CallAnswer answer) {
-        services_.tables.scopes.with(
-            [&](CallScopeTable &scopes) { scopes.endChild(context, child, answer, repeatable); });
-        respond(callerAnswer(std::move(answer)));
-        --activeCalls_;
-    });
+    coordinator_.run(std::move(*call),
+                     [this, respond = std::move(respond), context, repeatable, child = *child](CallAnswer answer) {
+                         services_.tables.scopes.with(
+                             [&](CallScopeTable &scopes) { scopes.endChild(context, child, answer, repeatable); });
+                         respond(callerAnswer(std::move(answer)));
+                         --activeCalls_;
+                     });
 }
 
 } // namespace Hibiscus
--- a/src/daemon/callmessage.cpp
+++ b/src/daemon/callmessage.cpp
@@ -32,8 +32,8 @@
 std::string formatMillis(Millis duration)
 {
     std::array<char, 32> buffer{};
-    const auto written = std::to_chars(buffer.data(), buffer.data() + buffer.size(), duration.value,
-                                       std::chars_format::fixed, 3);
+    const auto written =
+        std::to_chars(buffer.data(), buffer.data() + buffer.size(), duration.value, std::chars_format::fixed, 3);
     return {buffer.data(), written.ptr};
 }
 
--- a/src/daemon/callscopetable.cpp
+++ b/src/daemon/callscopetable.cpp
@@ -48,8 +48,7 @@
         entry.summary.nonRepeatableMayHaveRun = true;
     }
     if (--entry.outstanding == 0) {
-        entry.summary.waitingForChildren =
-            entry.summary.waitingForChildren + (clock_.now() - entry.waitingSince);
+        entry.summary.waitingForChildren = entry.summary.waitingForChildren + (clock_.now() - entry.waitingSince);
     }
 }
 
--- a/src/daemon/controlloop.cpp
+++ b/src/daemon/controlloop.cpp
@@ -4,6 +4,7 @@
 #include "membership/membershiplimits.h"
 #include "rpc/controlcodec.h"
 #include "rpc/controlserver.h"
+#include "rpc/rpctext.h"
 
 #include <asio/post.hpp>
 
@@ -16,6 +17,8 @@
 /** A watch may hold one thread for its whole wait; reads and writes use the others. */
 constexpr std::size_t kPlatformThreads = 3;
 constexpr Millis kControlConnectTimeout{1000};
+/** Every request has a connection to itself, so the numbers of JSON-RPC need not differ. */
+constexpr std::uint64_t kRequestNumber = 1;
 constexpr std::chrono::milliseconds kTick{static_cast<long>(DomainAgent::kTickInterval.value)};
 
 PlatformResult::Status statusOf(StoreError error)
@@ -51,24 +54,51 @@
 public:
     explicit Service(ControlLoop &loop)
         : loop_(loop)
-        , server_(*this)
+        , server_(connector_, *this)
     {
     }
 
-    ControlResponse handle(const ControlRequest &request) override
+    PollResponse poll(const Poll &request) override
     {
-        auto [response, effects] = loop_.agent_.handle(request);
-        loop_.apply(std::move(effects));
-        return response;
+        return handle<PollResponse>(request);
+    }
+
+    AnnounceResponse announce(const Announce &request) override
+    {
+        return handle<AnnounceResponse>(request);
+    }
+
+    ViewDifference view(const ViewRequest &request) override
+    {
+        return handle<ViewDifference>(request);
+    }
+
+    LeaseResponse lease(const LeaseRequest &request) override
+    {
+        return handle<LeaseResponse>(request);
+    }
+
+    ConfigurationText configuration(const ConfigurationRequest &request) override
+    {
+        return handle<ConfigurationText>(request);
     }
 
     std::string process(const std::string &body)
     {
-        return server_.process(body);
+        return connector_.process(body);
     }
 
 private:
+    template<class Response>
+    Response handle(const ControlRequest &request)
+    {
+        auto [response, effects] = loop_.agent_.handle(request);
+        loop_.apply(std::move(effects));
+        return std::get<Response>(std::move(response));
+    }
+
     ControlLoop &loop_;
+    HttpConnector connector_;
     ControlServer server_;
 };
 
@@ -123,9 +153,8 @@
 
 void ControlLoop::process(std::string body, std::function<void(std::string)> respond)
 {
-    asio::post(strand_, [this, body = std::move(body), respond = std::move(respond)] {
-        respond(service_->process(body));
-    });
+    asio::post(strand_,
+               [this, body = std::move(body), respond = std::move(respond)] { respond(service_->process(body)); });
 }
 
 void ControlLoop::setLocalState(bool draining, int headroom)
@@ -174,11 +203,11 @@
     HttpCallOptions options;
     options.connectTimeout = kControlConnectTimeout;
     options.answerTimeout = kRequestTimeout;
-    HttpRequest message{"POST", "/control", {}, encodeControlRequest(request.request)};
+    HttpRequest message{"POST", "/control", {}, requestText(kRequestNumber, request.request)};
     message.headers.add("Content-Type", "application/json");
-    const std::size_t kind = request.request.index();
-    client_.send(request.to, std::move(message), options, [this, id = request.id, kind](HttpResult result) {
-        asio::post(strand_, [this, id, kind, result = std::move(result)] {
+    const std::string method(methodOf(request.request));
+    client_.send(request.to, std::move(message), options, [this, id = request.id, method](HttpResult result) {
+        asio::post(strand_, [this, id, method, result = std::move(result)] {
             if (stopping_) {
                 return;
             }
@@ -186,7 +215,7 @@
                 apply(agent_.failed(id));
                 return;
             }
-            const auto response = decodeControlResponse(kind, result->body);
+            const auto response = readResponse(result->body, kRequestNumber, method);
             apply(response ? agent_.responded(id, *response) : agent_.failed(id));
         });
     });
@@ -241,8 +270,8 @@
     const Millis remaining = agent_.leaseRemaining();
     // The clock was read first, so the stored expiry is never later than the lease's own.
     leaseExpiry_ = agent_.fresh() ? (now + remaining).value : 0;
-    ControlStatus status{agent_.adopted(),  agent_.confirmed(),  remaining, agent_.knownAgent(), agent_.isAgent(),
-                         platformAvailable_, members_};
+    ControlStatus status{agent_.adopted(), agent_.confirmed(), remaining, agent_.knownAgent(),
+                         agent_.isAgent(), platformAvailable_, members_};
     const std::lock_guard lock(statusMutex_);
     status_ = std::move(status);
 }
--- a/src/daemon/crashreportcodec.cpp
+++ b/src/daemon/crashreportcodec.cpp
@@ -31,7 +31,7 @@
 PayloadEntry encodeCrashReport(const CrashReport &report, Incarnation publisher, std::uint64_t revision)
 {
     const nlohmann::json value{
-        {"reporter", report.id.reporter.value()}, {"sequence", report.id.sequence}, {"age", report.age.value},
+        {"reporter", report.id.reporter.value()}, {"sequence", report.id.sequence},       {"age", report.age.value},
         {"charged", toNumbers(report.charged)},   {"cleared", toNumbers(report.cleared)},
     };
     const std::string key = std::to_string(report.id.reporter.value()) + "-" + std::to_string(report.id.sequence) + "@"
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -111,16 +111,16 @@
     gateway = std::make_unique<ServerGateway>(self, tables, client, health, *control, clock);
     health.setCallbacks([this](bool healthy) { gateway->setServerHealthy(healthy); },
                         [this](const std::vector<Signature> &inFlight) { onCrash(inFlight); });
-    services = std::make_unique<CallServices>(
-        CallServices{context, clock, self, tables, routing, random, client, *gateway});
+    services =
+        std::make_unique<CallServices>(CallServices{context, clock, self, tables, routing, random, client, *gateway});
     coordinator = std::make_unique<CallCoordinator>(*services);
     calls = std::make_unique<CallHandler>(*services, *coordinator, *control);
     callersHandler = std::make_unique<CallersHandler>(
         *services, *calls, CallersHandler::Functions{[this] { return statusPage(); }, [this] { drain(); }});
-    peersHandler = std::make_unique<PeersHandler>(
-        *services, *coordinator, [this](std::string body, std::function<void(std::string)> respond) {
-            control->process(std::move(body), std::move(respond));
-        });
+    peersHandler = std::make_unique<PeersHandler>(*services, *coordinator,
+                                                  [this](std::string body, std::function<void(std::string)> respond) {
+                                                      control->process(std::move(body), std::move(respond));
+                                                  });
     callersServer = std::make_unique<HttpServer>(context, HttpServerSettings{settings.callers}, *callersHandler);
     localServer = std::make_unique<HttpServer>(context, HttpServerSettings{settings.local}, *calls);
     peersServer = std::make_unique<HttpServer>(context, HttpServerSettings{settings.peers}, *peersHandler);
@@ -258,8 +258,8 @@
 std::string Daemon::Private::statusPage() const
 {
     auto &mutableSelf = const_cast<Private &>(*this);
-    return formatStatusPage({self, mutableSelf.tables, mutableSelf.routing, control->status(), draining,
-                             health.healthy(), inFlight()});
+    return formatStatusPage(
+        {self, mutableSelf.tables, mutableSelf.routing, control->status(), draining, health.healthy(), inFlight()});
 }
 
 std::size_t Daemon::Private::inFlight() const
@@ -305,9 +305,9 @@
     }
     d_->startTimers();
     d_->control->start();
-    logEvent(LogEvent::DaemonStarted, d_->self.server.value() + " incarnation "
-                 + std::to_string(d_->self.incarnation.value()) + ", callers " + d_->settings.callers.value()
-                 + ", peers " + d_->settings.peers.value());
+    logEvent(LogEvent::DaemonStarted,
+             d_->self.server.value() + " incarnation " + std::to_string(d_->self.incarnation.value()) + ", callers "
+                 + d_->settings.callers.value() + ", peers " + d_->settings.peers.value());
     return {};
 }
 
--- a/src/daemon/peershandler.cpp
+++ b/src/daemon/peershandler.cpp
@@ -108,9 +108,8 @@
     if (!attempt || !incarnation) {
         return failure(ErrorKind::BadRequest);
     }
-    return encodeReport(services_.tables.attempts.with([&](AttemptTable &attempts) {
-        return attempts.query(AttemptId(*attempt), Incarnation(*incarnation));
-    }));
+    return encodeReport(services_.tables.attempts.with(
+        [&](AttemptTable &attempts) { return attempts.query(AttemptId(*attempt), Incarnation(*incarnation)); }));
 }
 
 } // namespace Hibiscus
--- a/src/daemon/servergateway.cpp
+++ b/src/daemon/servergateway.cpp
@@ -36,8 +36,8 @@
 
 } // namespace
 
-ServerGateway::ServerGateway(const DaemonIdentity &self, SharedTables &tables, HttpClient &client,
-                             ServerHealth &health, const ServingGate &gate, const Clock &clock)
+ServerGateway::ServerGateway(const DaemonIdentity &self, SharedTables &tables, HttpClient &client, ServerHealth &health,
+                             const ServingGate &gate, const Clock &clock)
     : self_(self)
     , tables_(tables)
     , client_(client)
@@ -82,10 +82,9 @@
 bool ServerGateway::enter(const PendingPtr &pending)
 {
     const CallMessage &message = pending->message;
-    const BeginResult begun = tables_.attempts.with(
-        [&](AttemptTable &attempts) {
-            return attempts.begin(message.attempt, message.incarnation, !message.call.repeatable);
-        });
+    const BeginResult begun = tables_.attempts.with([&](AttemptTable &attempts) {
+        return attempts.begin(message.attempt, message.incarnation, !message.call.repeatable);
+    });
     if (begun != BeginResult::Begun) {
         const bool duplicate = begun == BeginResult::AlreadyBegun;
         CallAnswer answer;
@@ -104,8 +103,7 @@
         return false;
     }
     if (verdict == Verdict::Suspect) {
-        const bool taken =
-            tables_.suspects.with([&](SuspectSlot &slot) { return slot.tryTake(message.attempt); });
+        const bool taken = tables_.suspects.with([&](SuspectSlot &slot) { return slot.tryTake(message.attempt); });
         if (!taken) {
             reject(pending, ErrorKind::Overloaded);
             return false;
@@ -188,8 +186,7 @@
 
     HttpCallOptions options;
     options.freshConnection = !call.repeatable;
-    options.answerTimeout =
-        (call.deadline - clock_.now()) + (call.repeatable ? Millis{0} : kNonRepeatableGrace);
+    options.answerTimeout = (call.deadline - clock_.now()) + (call.repeatable ? Millis{0} : kNonRepeatableGrace);
     client_.send(self_.backend, backendRequest(pending->message), options,
                  [this, pending](HttpResult result) { onResult(pending, std::move(result)); });
 }
@@ -208,8 +205,7 @@
 {
     const CallRequest &call = pending->message.call;
     const AttemptId attempt = pending->message.attempt;
-    const ScopeSummary summary =
-        tables_.scopes.with([&](CallScopeTable &scopes) { return scopes.close(attempt); });
+    const ScopeSummary summary = tables_.scopes.with([&](CallScopeTable &scopes) { return scopes.close(attempt); });
     ServiceSample sample;
     sample.total = clock_.now() - pending->started;
     sample.waitingForChildren = summary.waitingForChildren;
--- a/src/daemon/statuspage.cpp
+++ b/src/daemon/statuspage.cpp
@@ -40,12 +40,9 @@
 
 std::string formatStatusPage(const StatusSources &sources)
 {
-    nlohmann::json page{{"server", sources.self.server.value()},
-                        {"domain", sources.self.domain.value()},
-                        {"incarnation", sources.self.incarnation.value()},
-                        {"draining", sources.draining},
-                        {"server_healthy", sources.serverHealthy},
-                        {"in_flight", sources.inFlight},
+    nlohmann::json page{{"server", sources.self.server.value()},           {"domain", sources.self.domain.value()},
+                        {"incarnation", sources.self.incarnation.value()}, {"draining", sources.draining},
+                        {"server_healthy", sources.serverHealthy},         {"in_flight", sources.inFlight},
                         {"control", controlSection(sources.control)}};
     page["admission"] =
         sources.tables.admission.with([](const AdmissionController &admission) { return admissionSection(admission); });
--- a/src/rpc/controlcodec.cpp
+++ b/src/rpc/controlcodec.cpp
@@ -1,127 +1,73 @@
 #include "rpc/controlcodec.h"
 
-#include "rpc/controlfields.h"
-#include "rpc/fieldio.h"
+#include "rpc/jsonmessagereader.h"
+#include "rpc/jsonmessagewriter.h"
 
+#include <algorithm>
 #include <array>
-#include <memory>
 #include <utility>
 
-#include <json/reader.h>
-#include <json/writer.h>
-
 namespace Hibiscus
 {
 
 namespace
 {
 
-constexpr std::array<const char *, std::variant_size_v<ControlRequest>> kMethods{
-    "poll", "announce", "view", "lease", "configuration",
-};
+/** In the order of the alternatives of ControlRequest and ControlResponse. */
+constexpr std::array<std::string_view, 5> kMethods{"poll", "announce", "view", "lease", "configuration"};
+static_assert(kMethods.size() == std::variant_size_v<ControlRequest>);
+static_assert(kMethods.size() == std::variant_size_v<ControlResponse>);
 
-template<class Variant>
-Json::Value messageToJson(const Variant &message)
+template<class Variant, std::size_t Index>
+tl::expected<Variant, CodecError> decodeAlternative(std::string_view method, const Json::Value &value)
 {
-    return std::visit(
-        [](const auto &body) {
-            FieldWriter writer;
-            describe(writer, body);
-            return writer.take();
-        },
-        message);
-}
-
-template<class Variant, std::size_t Kind>
-std::optional<Variant> readAlternative(const Json::Value &value)
-{
-    std::variant_alternative_t<Kind, Variant> message;
-    FieldReader reader(value);
-    describe(reader, message);
-    if (!reader.valid()) {
-        return std::nullopt;
+    std::variant_alternative_t<Index, Variant> message;
+    JsonMessageReader reader(value, std::string(method));
+    visitFields(reader, message);
+    if (!reader.error().empty()) {
+        return tl::make_unexpected(CodecError{reader.error()});
     }
-    return Variant(std::in_place_index<Kind>, std::move(message));
+    return Variant(std::move(message));
 }
 
-template<class Variant, std::size_t... Kinds>
-std::optional<Variant> readKind(std::size_t kind, const Json::Value &value, std::index_sequence<Kinds...>)
+template<class Variant, std::size_t... Indices>
+tl::expected<Variant, CodecError> decode(std::string_view method, const Json::Value &value,
+                                         std::index_sequence<Indices...> /*indices*/)
 {
-    std::optional<Variant> result;
-    ((Kinds == kind ? void(result = readAlternative<Variant, Kinds>(value)) : void()), ...);
-    return result;
-}
-
-template<class Variant>
-std::optional<Variant> messageFromJson(std::size_t kind, const Json::Value &value)
-{
-    return readKind<Variant>(kind, value, std::make_index_sequence<std::variant_size_v<Variant>>());
-}
-
-std::optional<Json::Value> parseText(const std::string &text)
-{
-    Json::CharReaderBuilder builder;
-    builder["failIfExtra"] = true;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value value;
-    std::string errors;
-    try {
-        if (!reader->parse(text.data(), text.data() + text.size(), &value, &errors)) {
-            return std::nullopt;
-        }
-    } catch (const Json::Exception &) {
-        // Thrown for input nested beyond the reader's stack limit.
-        return std::nullopt;
+    using Decoder = tl::expected<Variant, CodecError> (*)(std::string_view, const Json::Value &);
+    static constexpr std::array<Decoder, sizeof...(Indices)> decoders{&decodeAlternative<Variant, Indices>...};
+    const auto found = std::ranges::find(kMethods, method);
+    if (found == kMethods.end()) {
+        return tl::make_unexpected(CodecError{"unknown method"});
     }
-    return value;
+    return decoders.at(static_cast<std::size_t>(found - kMethods.begin()))(method, value);
 }
 
 } // namespace
 
-const char *controlMethod(std::size_t kind)
-{
-    return kMethods.at(kind);
-}
-
-Json::Value toJson(const ControlRequest &request)
+std::string_view methodOf(const ControlRequest &request)
 {
-    return messageToJson(request);
+    return kMethods.at(request.index());
 }
 
-Json::Value toJson(const ControlResponse &response)
+Json::Value encode(const ControlRequest &request)
 {
-    return messageToJson(response);
+    return std::visit([](const auto &message) { return JsonMessageWriter::write(message); }, request);
 }
 
-std::optional<ControlRequest> controlRequestFromJson(std::size_t kind, const Json::Value &value)
+Json::Value encode(const ControlResponse &response)
 {
-    return messageFromJson<ControlRequest>(kind, value);
+    return std::visit([](const auto &message) { return JsonMessageWriter::write(message); }, response);
 }
 
-std::optional<ControlResponse> controlResponseFromJson(std::size_t kind, const Json::Value &value)
+tl::expected<ControlRequest, CodecError> decodeRequest(std::string_view method, const Json::Value &value)
 {
-    return messageFromJson<ControlResponse>(kind, value);
+    return decode<ControlRequest>(method, value, std::make_index_sequence<kMethods.size()>());
 }
 
-std::string encodeControlRequest(const ControlRequest &request)
+tl::expected<ControlResponse, CodecError> decodeResponse(std::string_view method, const Json::Value &value)
 {
-    Json::Value message;
-    message["jsonrpc"] = "2.0";
-    message["id"] = 1; // Each request has a connection of its own, so the id needs no counting.
-    message["method"] = controlMethod(request.index());
-    message["params"] = toJson(request);
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, message);
-}
-
-std::optional<ControlResponse> decodeControlResponse(std::size_t kind, const std::string &text)
-{
-    const std::optional<Json::Value> message = parseText(text);
-    if (!message || !message->isObject() || !message->isMember("result")) {
-        return std::nullopt;
-    }
-    return controlResponseFromJson(kind, (*message)["result"]);
+    return decode<ControlResponse>(method, value, std::make_index_sequence<kMethods.size()>());
 }
 
 } // namespace Hibiscus
--- a/src/rpc/controlcodec.h
+++ b/src/rpc/controlcodec.h
@@ -3,29 +3,38 @@
 
 #include "membership/controlmessages.h"
 
-#include <cstddef>
-#include <optional>
 #include <string>
+#include <string_view>
 
 #include <json/value.h>
+#include <tl/expected.hpp>
 
 namespace Hibiscus
 {
 
-/** JSON-RPC method name of the request at alternative @p kind of ControlRequest. */
-const char *controlMethod(std::size_t kind);
-
-Json::Value toJson(const ControlRequest &request);
-Json::Value toJson(const ControlResponse &response);
-
-/** Request of alternative @p kind; empty if a field is missing or has another type. */
-std::optional<ControlRequest> controlRequestFromJson(std::size_t kind, const Json::Value &value);
-std::optional<ControlResponse> controlResponseFromJson(std::size_t kind, const Json::Value &value);
-
-/** Text of a JSON-RPC 2.0 request. */
-std::string encodeControlRequest(const ControlRequest &request);
-/** Response of alternative @p kind from a JSON-RPC 2.0 response; empty if it is an error or malformed. */
-std::optional<ControlResponse> decodeControlResponse(std::size_t kind, const std::string &text);
+/** Place and cause of the first fault in a message, such as "from.name: too long". */
+struct CodecError {
+    std::string detail;
+};
+
+/** Method name of a request: poll, announce, view, lease or configuration. */
+std::string_view methodOf(const ControlRequest &request);
+
+/**
+ * JSON form of a message. Members with their default value are left out. Times are whole milliseconds, rounded down, so
+ * that a lease is never extended by its encoding.
+ */
+Json::Value encode(const ControlRequest &request);
+Json::Value encode(const ControlResponse &response);
+
+/**
+ * Reads the request of @p method. A member of the wrong type, out of range, too long or missing is an error; an unknown
+ * member is ignored, so that daemons of two versions understand each other during an upgrade.
+ */
+tl::expected<ControlRequest, CodecError> decodeRequest(std::string_view method, const Json::Value &value);
+
+/** Reads the response to a request of @p method, under the same rules. */
+tl::expected<ControlResponse, CodecError> decodeResponse(std::string_view method, const Json::Value &value);
 
 } // namespace Hibiscus
 
--- a/src/rpc/controlserver.cpp
+++ b/src/rpc/controlserver.cpp
@@ -2,10 +2,12 @@
 
 #include "rpc/controlcodec.h"
 
+#include <exception>
+#include <string_view>
+
 #include <jsonrpccpp/common/errors.h>
 #include <jsonrpccpp/common/exception.h>
-#include <jsonrpccpp/server/abstractserver.h>
-#include <jsonrpccpp/server/abstractserverconnector.h>
+#include <jsonrpccpp/common/procedure.h>
 
 namespace Hibiscus
 {
@@ -13,102 +15,78 @@
 namespace
 {
 
-/** Hands one request at a time to the library and keeps its response. */
-class TextConnector : public jsonrpc::AbstractServerConnector
-{
-public:
-    bool StartListening() override
-    {
-        return true;
-    }
+using jsonrpc::Errors;
+using jsonrpc::JsonRpcException;
 
-    bool StopListening() override
-    {
-        return true;
-    }
+jsonrpc::Procedure procedure(const char *name)
+{
+    jsonrpc::Procedure result;
+    result.SetProcedureName(name);
+    result.SetProcedureType(jsonrpc::RPC_METHOD);
+    result.SetParameterDeclarationType(jsonrpc::PARAMS_BY_NAME);
+    result.SetReturnType(jsonrpc::JSON_OBJECT);
+    result.AddParameter("m", jsonrpc::JSON_OBJECT);
+    return result;
+}
 
-    bool SendResponse(const std::string &response, void * /*addInfo*/) override
-    {
-        response_ = response;
-        return true;
+/** Calls the service; whatever it throws becomes an error that names no internals. */
+template<class Call>
+auto guarded(const Call &call)
+{
+    try {
+        return call();
+    } catch (const std::exception &) {
+        throw JsonRpcException(Errors::ERROR_RPC_INTERNAL_ERROR, "the method failed");
     }
+}
 
-    std::string process(const std::string &body)
-    {
-        response_.clear();
-        OnRequest(body);
-        return std::move(response_);
+template<class Request, class Response>
+void answer(std::string_view method, ControlService &service, Response (ControlService::*handler)(const Request &),
+            const Json::Value &parameters, Json::Value &result)
+{
+    const auto request = decodeRequest(method, parameters["m"]);
+    if (!request) {
+        throw JsonRpcException(Errors::ERROR_RPC_INVALID_PARAMS, request.error().detail);
     }
-
-private:
-    std::string response_;
-};
+    result = guarded([&] { return encode(ControlResponse((service.*handler)(std::get<Request>(*request)))); });
+}
 
 } // namespace
 
-namespace
+ControlServer::ControlServer(HttpConnector &connector, ControlService &service)
+    : jsonrpc::AbstractServer<ControlServer>(connector, jsonrpc::JSONRPC_SERVER_V2)
+    , service_(service)
 {
+    bindAndAddMethod(procedure("poll"), &ControlServer::poll);
+    bindAndAddMethod(procedure("announce"), &ControlServer::announce);
+    bindAndAddMethod(procedure("view"), &ControlServer::view);
+    bindAndAddMethod(procedure("lease"), &ControlServer::lease);
+    bindAndAddMethod(procedure("configuration"), &ControlServer::configuration);
+}
 
-/** Maps the JSON-RPC methods to the service. */
-class MethodTable : public jsonrpc::AbstractServer<MethodTable>
+void ControlServer::poll(const Json::Value &parameters, Json::Value &result)
 {
-public:
-    MethodTable(TextConnector &textConnector, ControlService &controlService)
-        : AbstractServer(textConnector)
-        , service_(controlService)
-    {
-        add<0>();
-        add<1>();
-        add<2>();
-        add<3>();
-        add<4>();
-    }
-
-private:
-    template<std::size_t Kind>
-    void add()
-    {
-        bindAndAddMethod(jsonrpc::Procedure(controlMethod(Kind), jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT, nullptr),
-                         &MethodTable::call<Kind>);
-    }
-
-    template<std::size_t Kind>
-    void call(const Json::Value &parameters, Json::Value &result)
-    {
-        const auto request = controlRequestFromJson(Kind, parameters);
-        if (!request) {
-            throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_RPC_INVALID_PARAMS);
-        }
-        result = toJson(service_.handle(*request));
-    }
-
-    ControlService &service_;
-};
-
-} // namespace
+    answer("poll", service_, &ControlService::poll, parameters, result);
+}
 
-class ControlServer::Private
+void ControlServer::announce(const Json::Value &parameters, Json::Value &result)
 {
-public:
-    explicit Private(ControlService &service)
-        : methods(connector, service)
-    {
-    }
-
-    TextConnector connector;
-    MethodTable methods;
-};
+    answer("announce", service_, &ControlService::announce, parameters, result);
+}
 
-ControlServer::ControlServer(ControlService &service)
-    : d_(std::make_unique<Private>(service))
+void ControlServer::view(const Json::Value &parameters, Json::Value &result)
 {
+    answer("view", service_, &ControlService::view, parameters, result);
 }
 
-ControlServer::~ControlServer() = default;
+void ControlServer::lease(const Json::Value &parameters, Json::Value &result)
+{
+    answer("lease", service_, &ControlService::lease, parameters, result);
+}
 
-std::string ControlServer::process(const std::string &body)
+void ControlServer::configuration(const Json::Value &parameters, Json::Value &result)
 {
-    return d_->connector.process(body);
+    answer("configuration", service_, &ControlService::configuration, parameters, result);
 }
 
 } // namespace Hibiscus
--- a/src/rpc/controlserver.h
+++ b/src/rpc/controlserver.h
@@ -2,29 +2,33 @@
 #define HIBISCUS_RPC_CONTROLSERVER_H
 
 #include "rpc/controlservice.h"
+#include "rpc/httpconnector.h"
 
-#include <memory>
 #include <string>
 
+#include <json/value.h>
+#include <jsonrpccpp/server/abstractserver.h>
+
 namespace Hibiscus
 {
 
-/** JSON-RPC 2.0 server for control messages. The text comes from the daemon's own HTTP. */
-class ControlServer
+/**
+ * JSON-RPC server of the control methods. A message is the parameter "m" of its method, as an object.
+ */
+class ControlServer : public jsonrpc::AbstractServer<ControlServer>
 {
 public:
-    /** @p service must outlive the server. */
-    explicit ControlServer(ControlService &service);
-    ~ControlServer();
-    ControlServer(const ControlServer &) = delete;
-    ControlServer &operator=(const ControlServer &) = delete;
-
-    /** Text of the response to the request @p body; a JSON-RPC error if it can't be read. Never throws. */
-    std::string process(const std::string &body);
+    /** Both must outlive the server. */
+    ControlServer(HttpConnector &connector, ControlService &service);
 
 private:
-    class Private;
-    std::unique_ptr<Private> d_;
+    void poll(const Json::Value &parameters, Json::Value &result);
+    void announce(const Json::Value &parameters, Json::Value &result);
+    void view(const Json::Value &parameters, Json::Value &result);
+    void lease(const Json::Value &parameters, Json::Value &result);
+    void configuration(const Json::Value &parameters, Json::Value &result);
+
+    ControlService &service_;
 };
 
 } // namespace Hibiscus
--- a/src/rpc/controlservice.h
+++ b/src/rpc/controlservice.h
@@ -3,17 +3,22 @@
 
 #include "membership/controlmessages.h"
 
+#include <string>
+
 namespace Hibiscus
 {
 
-/** Receives the control messages of a ControlServer. */
+/** What a daemon does for its peers. Called by several workers at a time; an exception becomes an error response. */
 class ControlService
 {
 public:
     virtual ~ControlService() = default;
 
-    /** Handles a request; the response must have the alternative that belongs to it. */
-    virtual ControlResponse handle(const ControlRequest &request) = 0;
+    virtual PollResponse poll(const Poll &request) = 0;
+    virtual AnnounceResponse announce(const Announce &request) = 0;
+    virtual ViewDifference view(const ViewRequest &request) = 0;
+    virtual LeaseResponse lease(const LeaseRequest &request) = 0;
+    virtual ConfigurationText configuration(const ConfigurationRequest &request) = 0;
 };
 
 } // namespace Hibiscus
--- a/tools/bench/controlmodel.h
+++ b/tools/bench/controlmodel.h
@@ -54,7 +54,34 @@
             }
         };
 
-        ControlResponse handle(const ControlRequest &request) override;
+        PollResponse poll(const Poll &request) override
+        {
+            return handle<PollResponse>(request);
+        }
+        AnnounceResponse announce(const Announce &request) override
+        {
+            return handle<AnnounceResponse>(request);
+        }
+        ViewDifference view(const ViewRequest &request) override
+        {
+            return handle<ViewDifference>(request);
+        }
+        LeaseResponse lease(const LeaseRequest &request) override
+        {
+            return handle<LeaseResponse>(request);
+        }
+        ConfigurationText configuration(const ConfigurationRequest &request) override
+        {
+            return handle<ConfigurationText>(request);
+        }
+
+        template<class Response>
+        Response handle(const ControlRequest &request)
+        {
+            auto [response, effects] = agent->handle(request);
+            handled = std::move(effects);
+            return std::get<Response>(std::move(response));
+        }
 
         std::size_t index = 0;
         ServerName name;
@@ -64,6 +91,7 @@
         OwnClock clock;
         SeededRandom random{0};
         std::unique_ptr<DomainAgent> agent;
+        HttpConnector connector;
         std::unique_ptr<ControlServer> server;
         Effects handled; ///< Effects of the request that the server handled last.
         ControlCost cost;
@@ -113,7 +141,7 @@
     void perform(Member &member, Effects effects);
     void install(Member &member, const InstallConfiguration &request);
     void send(Member &from, const OutgoingRequest &request);
-    void deliver(Member &to, std::size_t from, std::uint64_t generation, RequestId id, std::size_t kind,
+    void deliver(Member &to, std::size_t from, std::uint64_t generation, RequestId id, const std::string &kind,
                  const std::string &body);
     void call(Member &member, const PlatformCall &platformCall);
     double wireBytes(std::size_t text, double overhead) const;
--- a/tools/deployment/deploymentplan.cpp
+++ b/tools/deployment/deploymentplan.cpp
@@ -30,12 +30,10 @@
         const auto domain =
             std::find_if(inventory.domains.begin(), inventory.domains.end(),
                          [&server](const FailureDomainEntry &entry) { return entry.name == server.domain; });
-        const std::string address =
-            domainAddress(static_cast<std::size_t>(domain - inventory.domains.begin())) + ":";
-        hosts_.push_back({server, HostAddress(address + std::to_string(port)),
-                          HostAddress(address + std::to_string(port + 1)),
-                          HostAddress(address + std::to_string(port + 2)),
-                          HostAddress(address + std::to_string(port + 3))});
+        const std::string address = domainAddress(static_cast<std::size_t>(domain - inventory.domains.begin())) + ":";
+        hosts_.push_back(
+            {server, HostAddress(address + std::to_string(port)), HostAddress(address + std::to_string(port + 1)),
+             HostAddress(address + std::to_string(port + 2)), HostAddress(address + std::to_string(port + 3))});
         port += kPortsPerHost;
     }
 }
@@ -60,11 +58,16 @@
 std::string DeploymentPlan::settingsFor(const PlannedHost &host, const HostAddress &platform) const
 {
     const nlohmann::ordered_json settings{
-        {"server", host.server.name.value()}, {"domain", host.server.domain.value()},
-        {"callers", host.callers.value()},    {"local", host.local.value()},
-        {"peers", host.peers.value()},        {"backend", host.backend.value()},
-        {"healthPath", "/health"},           {"platform", platform.value()},
-        {"seeds", seedsFor(host)},            {"workers", 2},
+        {"server", host.server.name.value()},
+        {"domain", host.server.domain.value()},
+        {"callers", host.callers.value()},
+        {"local", host.local.value()},
+        {"peers", host.peers.value()},
+        {"backend", host.backend.value()},
+        {"healthPath", "/health"},
+        {"platform", platform.value()},
+        {"seeds", seedsFor(host)},
+        {"workers", 2},
     };
     return settings.dump(4) + "\n";
 }
