Retry: a child call may be granted 7/8 of the allowance

Cause: with 3/4 at each of two grants per hop, 64 attempts end at a depth of 6, while call chains are up to 9 deep. Ruled out: a larger total, since it is also the bound of the attempts of one user action. Before: the new test of a chain 9 deep has no attempt left at depth 7 with 3/4. The property that bounds a grant now says 7/8; the bound of the whole tree is unchanged.

--- a/src/retry/autotests/attemptallowancetest.cpp
+++ b/src/retry/autotests/attemptallowancetest.cpp
@@ -21,7 +21,7 @@
             const int before = allowance.left();
             const int granted = allowance.grantChild(*rc::gen::inRange(0, 100));
             RC_ASSERT(granted == (before == 0 ? 0 : std::max(1, granted)));
-            RC_ASSERT(granted <= std::max(1, before * 3 / 4));
+            RC_ASSERT(granted <= std::max(1, before * 7 / 8));
             AttemptAllowance childAllowance(granted);
             const std::optional<int> spent = runCall(childAllowance, depth - 1, attempts);
             allowance.settleChild(granted, spent);
@@ -49,7 +49,7 @@
     // Guards against a child that starves its siblings, and reports of other processes that raise the total.
     const struct {
         int left, peak, granted;
-    } grants[] = {{64, 0, 4}, {64, 10, 24}, {64, 1'000'000'000, 48}, {64, -5, 4}, {4, 10, 3}, {1, 0, 1},
+    } grants[] = {{64, 0, 4}, {64, 10, 24}, {64, 1'000'000'000, 56}, {64, -5, 4}, {4, 10, 3}, {1, 0, 1},
                   {0, 9, 0},  {-3, 9, 0}};
     for (const auto &[left, peak, granted] : grants) {
         CAPTURE(left);
@@ -71,3 +71,20 @@
         CHECK(allowance.left() == left);
     }
 }
+
+TEST_CASE("AttemptAllowance: a chain 9 deep passes before a peak is learned, with retries left at each level")
+{
+    // Guards against a share that is so small that the deepest call of an allowed chain gets no attempt.
+    constexpr int kDepth = 9;
+    constexpr int kUnknownPeak = 1000;
+    constexpr int kRootAttempts = kAttemptsPerTap - 8;
+    int granted = kRootAttempts;
+    for (int depth = 1; depth <= kDepth; ++depth) {
+        CAPTURE(depth);
+        AttemptAllowance call(granted);
+        REQUIRE(call.takeOne());
+        AttemptAllowance attempt(call.grantSubtree());
+        CHECK(call.spent() + call.left() == granted);
+        granted = attempt.grantChild(kUnknownPeak);
+    }
+}
