--- a/src/daemon/statuspage.cpp
+++ b/src/daemon/statuspage.cpp
@@ -18,12 +18,11 @@
                            {"up", member.up},
                            {"draining", member.draining}});
     }
-    return {{"configuration", control.adopted.value()},
-            {"confirmed", control.confirmed.value()},
-            {"lease_remaining_ms", control.leaseRemaining.value},
+    return {{"confirmed", control.confirmed.value()},
+            {"leaseRemainingMs", control.leaseRemaining.value},
             {"agent", control.agent.value()},
-            {"is_agent", control.isAgent},
-            {"platform_available", control.platformAvailable},
+            {"isAgent", control.isAgent},
+            {"platformAvailable", control.platformAvailable},
             {"members", members}};
 }
 
@@ -41,8 +40,9 @@
 std::string formatStatusPage(const StatusSources &sources)
 {
     nlohmann::json page{{"server", sources.self.server.value()},           {"domain", sources.self.domain.value()},
-                        {"incarnation", sources.self.incarnation.value()}, {"draining", sources.draining},
-                        {"server_healthy", sources.serverHealthy},         {"in_flight", sources.inFlight},
+                        {"incarnation", sources.self.incarnation.value()}, {"configVersion", sources.control.adopted.value()},
+                        {"draining", sources.draining},
+                        {"serverHealthy", sources.serverHealthy},         {"inFlight", sources.inFlight},
                         {"control", controlSection(sources.control)}};
     page["admission"] =
         sources.tables.admission.with([](const AdmissionController &admission) { return admissionSection(admission); });
@@ -57,7 +57,7 @@
          sources.tables.attempts.with([](const AttemptTable &attempts) { return attempts.recordCount(); })}};
     for (const auto &[service, count] :
          sources.routing.with([](const RoutingTable &routing) { return routing.serverCounts(); })) {
-        page["servers_in_use"][service.value()] = count;
+        page["serversInUse"][service.value()] = count;
     }
     return page.dump();
 }
