--- a/src/ctl/daemonstatus.h
+++ b/src/ctl/daemonstatus.h
@@ -13,13 +13,13 @@
 namespace Hibiscus
 {
 
-/** The parts of a daemon's GET /status that the tool interprets. */
+/** The parts of a daemon's GET /status (docs/interface.md) that the tool interprets. */
 struct DaemonStatus {
-    ServerName server; ///< "server"
-    FailureDomainName domain; ///< "domain"
-    bool draining = false; ///< "draining"
-    std::int64_t inFlight = 0; ///< "inFlight": requests that run or wait at the server
-    std::optional<ConfigVersion> configVersion; ///< "configVersion": version that the daemon has adopted
+    ServerName server;
+    FailureDomainName domain;
+    bool draining = false;
+    std::int64_t inFlight = 0; ///< Requests that the daemon still has to see through.
+    std::optional<ConfigVersion> configVersion; ///< Version that the daemon has adopted.
     nlohmann::json whole; ///< The answer with everything else in it.
 };
 
