--- a/tools/bench/samplefleet.cpp
+++ b/tools/bench/samplefleet.cpp
@@ -1,5 +1,6 @@
 #include "bench/samplefleet.h"
 
+#include <algorithm>
 #include <string>
 
 namespace Hibiscus
@@ -57,8 +58,11 @@
 {
     Configuration configuration;
     configuration.version = version;
-    addServices(configuration, size);
-    addServers(configuration, size);
+    // A service without a server would make the configuration invalid.
+    FleetSize valid = size;
+    valid.services = std::min(size.services, size.serversPerDomain);
+    addServices(configuration, valid);
+    addServers(configuration, valid);
     for (int entry = 0; entry < size.auditEntries; ++entry) {
         AuditEntry audit;
         audit.changeId = "change-0123456789abcdef-" + std::to_string(entry);
