--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -1,29 +1,52 @@
 # Functions that run a whole deployment as separate processes on loopback addresses. To be sourced.
 #
-#   deployment_start NAME FOLDER   platform, backend servers and daemons of examples/NAME; state in FOLDER
-#   deployment_stop                ends all processes that were started
+#   deployment_plan NAME FOLDER [BASE_PORT]   writes daemon settings and hosts.txt of the deployment into FOLDER
+#   deployment_start NAME FOLDER [BASE_PORT]  platform, backend servers and daemons; state in FOLDER
+#   deployment_stop                           ends all processes that were started
+#
+# deployment_examples   folder with the deployments (default: examples)
+# deployment_layer      "no" starts the backend servers alone
+#
+# A file FOLDER/SERVER.backend.json replaces the settings of that backend server.
 
 deployment_pids=()
+deployment_examples=examples
+deployment_layer=yes
 
-deployment_start() {
+deployment_plan() {
     local name=$1 folder=$2 base_port=${3:-20000}
     platform_address=127.0.0.1:$((base_port - 1))
     mkdir -p "$folder"
-    build/bin/deployment_settings "examples/$name/inventory.json" "$folder" --platform "$platform_address" \
-        --base-port "$base_port"
-    build/bin/platform_standin --listen "$platform_address" >"$folder/platform.log" 2>&1 &
+    build/bin/deployment_settings "$deployment_examples/$name/inventory.json" "$folder" \
+        --platform "$platform_address" --base-port "$base_port"
+}
+
+# deployment_run PIDFILE LOGFILE COMMAND...: starts one process of the deployment.
+deployment_run() {
+    local pid_file=$1 log_file=$2
+    shift 2
+    "$@" >"$log_file" 2>&1 &
     deployment_pids+=($!)
-    echo "$!" >"$folder/platform.pid"
-    local server service domain callers local_listener peers backend slots connections
+    echo "$!" >"$pid_file"
+}
+
+deployment_start() {
+    local name=$1 folder=$2
+    deployment_plan "$@"
+    if [ "$deployment_layer" = yes ]; then
+        deployment_run "$folder/platform.pid" "$folder/platform.log" \
+            build/bin/platform_standin --listen "$platform_address"
+    fi
+    local server service domain callers local_listener peers backend slots connections config
     while read -r server service domain callers local_listener peers backend slots connections; do
-        build/bin/backend_standin --config "examples/$name/backends/$service.json" --name "$server" \
-            --service "$service" --listen "$backend" --local-listener "$local_listener" --slots "$slots" \
-            --connections "$connections" >"$folder/$server.backend.log" 2>&1 &
-        deployment_pids+=($!)
-        echo "$!" >"$folder/$server.backend.pid"
-        build/bin/hibiscusd "$folder/$server.json" >"$folder/$server.log" 2>&1 &
-        deployment_pids+=($!)
-        echo "$!" >"$folder/$server.pid"
+        config=$folder/$server.backend.json
+        [ -e "$config" ] || config=$deployment_examples/$name/backends/$service.json
+        deployment_run "$folder/$server.backend.pid" "$folder/$server.backend.log" \
+            build/bin/backend_standin --config "$config" --name "$server" --service "$service" --listen "$backend" \
+            --local-listener "$local_listener" --slots "$slots" --connections "$connections"
+        if [ "$deployment_layer" = yes ]; then
+            deployment_run "$folder/$server.pid" "$folder/$server.log" build/bin/hibiscusd "$folder/$server.json"
+        fi
     done <"$folder/hosts.txt"
 }
 
@@ -37,6 +60,16 @@
     cut -d ' ' -f 7 "$1/hosts.txt"
 }
 
+# deployment_address SERVER COLUMN FOLDER: one column of hosts.txt.
+deployment_address() {
+    awk -v server="$1" -v column="$2" '$1 == server { print $column }' "$3/hosts.txt"
+}
+
+# deployment_faults ADDRESS JSON: injects faults into a stand-in.
+deployment_faults() {
+    curl -s -m 5 -X POST "http://$1/faults" -d "$2" >/dev/null
+}
+
 deployment_stop() {
     local pid
     for pid in "${deployment_pids[@]}"; do
