--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -1,45 +1,68 @@
 # Functions that run a whole deployment as separate processes on loopback addresses. To be sourced.
 #
-#   deployment_start NAME FOLDER   platform, backend servers and daemons of examples/NAME; state in FOLDER
-#   deployment_stop                ends all processes that were started
+#   deployment_plan NAME FOLDER [BASE_PORT]   writes daemon settings and hosts.txt of the deployment into FOLDER
+#   deployment_start NAME FOLDER [BASE_PORT]  platform, backend servers and daemons; state in FOLDER
+#   deployment_stop                           ends all processes that were started
+#
+# deployment_examples   folder with the deployments (default: examples)
+# deployment_layer      "no" starts the backend servers alone
+#
+# A file FOLDER/SERVER.backend.json replaces the settings of that backend server.
 
 deployment_pids=()
+deployment_examples=examples
+deployment_layer=yes
 
-deployment_start() {
+deployment_plan() {
     local name=$1 folder=$2 base_port=${3:-20000}
     platform_address=127.0.0.1:$((base_port - 1))
     mkdir -p "$folder"
-    build/bin/deployment_settings "${deployment_examples:-examples}/$name/inventory.json" "$folder" --platform "$platform_address" \
-        --base-port "$base_port"
-    build/bin/platform_standin --listen "$platform_address" >"$folder/platform.log" 2>&1 &
+    build/bin/deployment_settings "$deployment_examples/$name/inventory.json" "$folder" \
+        --platform "$platform_address" --base-port "$base_port"
+}
+
+# deployment_run PIDFILE LOGFILE COMMAND...: starts one process of the deployment.
+deployment_run() {
+    local pid_file=$1 log_file=$2
+    shift 2
+    "$@" >>"$log_file" 2>&1 &
     deployment_pids+=($!)
-    echo "$!" >"$folder/platform.pid"
+    echo "$!" >"$pid_file"
+}
+
+deployment_start() {
+    local name=$1 folder=$2
+    deployment_plan "$@"
+    if [ "$deployment_layer" = yes ]; then
+        deployment_run "$folder/platform.pid" "$folder/platform.log" \
+            build/bin/platform_standin --listen "$platform_address"
+    fi
     local server
     for server in $(cut -d ' ' -f 1 "$folder/hosts.txt"); do
         deployment_backend "$name" "$folder" "$server"
-        deployment_daemon "$folder" "$server"
+        if [ "$deployment_layer" = yes ]; then
+            deployment_daemon "$folder" "$server"
+        fi
     done
 }
 
 # deployment_backend NAME FOLDER SERVER: starts the backend server of one host.
 deployment_backend() {
     local name=$1 folder=$2 wanted=$3
-    local server service domain callers local_listener peers backend slots connections
+    local server service domain callers local_listener peers backend slots connections config
     while read -r server service domain callers local_listener peers backend slots connections; do
         [ "$server" = "$wanted" ] || continue
-        build/bin/backend_standin --config "${deployment_examples:-examples}/$name/backends/$service.json" \
-            --name "$server" --service "$service" --listen "$backend" --local-listener "$local_listener" \
-            --slots "$slots" --connections "$connections" >>"$folder/$server.backend.log" 2>&1 &
-        deployment_pids+=($!)
-        echo "$!" >"$folder/$server.backend.pid"
+        config=$folder/$server.backend.json
+        [ -e "$config" ] || config=$deployment_examples/$name/backends/$service.json
+        deployment_run "$folder/$server.backend.pid" "$folder/$server.backend.log" \
+            build/bin/backend_standin --config "$config" --name "$server" --service "$service" --listen "$backend" \
+            --local-listener "$local_listener" --slots "$slots" --connections "$connections"
     done <"$folder/hosts.txt"
 }
 
 # deployment_daemon FOLDER SERVER: starts the daemon of one host.
 deployment_daemon() {
-    build/bin/hibiscusd "$1/$2.json" >>"$1/$2.log" 2>&1 &
-    deployment_pids+=($!)
-    echo "$!" >"$1/$2.pid"
+    deployment_run "$1/$2.pid" "$1/$2.log" build/bin/hibiscusd "$1/$2.json"
 }
 
 # Callers listeners of all daemons, one a line.
@@ -52,6 +75,16 @@
     cut -d ' ' -f 7 "$1/hosts.txt"
 }
 
+# deployment_address SERVER COLUMN FOLDER: one column of hosts.txt.
+deployment_address() {
+    awk -v server="$1" -v column="$2" '$1 == server { print $column }' "$3/hosts.txt"
+}
+
+# deployment_faults ADDRESS JSON: injects faults into a stand-in.
+deployment_faults() {
+    curl -s -m 5 -X POST "http://$1/faults" -d "$2" >/dev/null
+}
+
 deployment_stop() {
     local pid
     for pid in "${deployment_pids[@]}"; do
--- a/tools/bench/tablebench.cpp
+++ b/tools/bench/tablebench.cpp
@@ -81,7 +81,7 @@
 {
     ManualClock clock;
     // A claim of a root request takes two records: its identity and its call key.
-    Arbiter table(kAddress, kIncarnation, clock, {2 * count_, 512, wideLimits()});
+    Arbiter table(kAddress, kIncarnation, clock, {2 * count_, wideLimits()});
     std::vector<RequestIdentity> identities(count_);
     for (RequestIdentity &identity : identities) {
         identity = table.issue();
