Only the arbiter of an identity may say that a request was not run

Ruled out: forwarding every refused resend to its arbiter, since a daemon without a lease may not act under its rules.

--- a/src/core/errorkind.cpp
+++ b/src/core/errorkind.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr std::array<ErrorAnswer, 22> kAnswers{{
+constexpr std::array<ErrorAnswer, 23> kAnswers{{
     {ErrorKind::BadRequest, "bad-request", 400, Outcome::NotRun, false},
     {ErrorKind::UnknownService, "unknown-service", 404, Outcome::NotRun, false},
     {ErrorKind::BodyTooLarge, "body-too-large", 413, Outcome::NotRun, false},
@@ -23,6 +23,7 @@
     {ErrorKind::Unreachable, "unreachable", 502, Outcome::NotRun, true},
     {ErrorKind::RulesNotFresh, "rules-not-fresh", 503, Outcome::NotRun, true},
     {ErrorKind::ServerRefused, "server-refused", 503, Outcome::NotRun, true},
+    {ErrorKind::ResendRefused, "resend-refused", 503, Outcome::Unknown, false},
     {ErrorKind::InProgress, "in-progress", 409, Outcome::Unknown, false},
     {ErrorKind::IdentityExpired, "identity-expired", 410, Outcome::Unknown, false},
     {ErrorKind::ArbiterLost, "arbiter-lost", 410, Outcome::Unknown, false},
--- a/src/core/errorkind.h
+++ b/src/core/errorkind.h
@@ -32,6 +32,7 @@
     Unreachable,
     RulesNotFresh,
     ServerRefused,
+    ResendRefused,
     InProgress,
     IdentityExpired,
     ArbiterLost,
--- a/src/daemon/callcoordinator.cpp
+++ b/src/daemon/callcoordinator.cpp
@@ -70,10 +70,14 @@
     CallCallback callback;
     ClaimId id;
     std::atomic<bool> answered{false};
+    std::atomic<bool> mayHaveRun{false}; ///< An earlier send of the same user action may have run.
 
     void answer(CallAnswer result)
     {
         if (!answered.exchange(true)) {
+            if (mayHaveRun && result.outcome() == Outcome::NotRun) {
+                result.response = tl::unexpected(ErrorKind::ResendRefused);
+            }
             callback(std::move(result));
         }
     }
@@ -146,6 +150,9 @@
     const ClaimResult result = services_.tables.arbiter.with([&](Arbiter &arbiter) {
         return arbiter.claim(*call.root.identity, call.callPath, call.signature, claim->id, isRoot ? kRootAttempts : 1);
     });
+    if (result.mayHaveRun) {
+        claim->mayHaveRun = true;
+    }
     switch (result.state) {
     case ClaimState::Granted:
         attempt(claim, result.attempts);
@@ -210,9 +217,10 @@
             const HttpResponse &response = *answer.response;
             arbiter.complete(identity, call.callPath, owner.id,
                              {response.status, response.headers.fields(), response.body});
-        } else {
-            // A repeatable request may run again, whatever became of it.
+        } else if (outcome == Outcome::NotRun) {
             arbiter.markNotRun(identity, call.callPath, owner.id);
+        } else {
+            arbiter.markRepeatable(identity, call.callPath, owner.id);
         }
         if (outcome == Outcome::Unknown) {
             return;
--- a/src/daemon/callhandler.cpp
+++ b/src/daemon/callhandler.cpp
@@ -33,6 +33,12 @@
     return encodeAnswer(std::move(answer));
 }
 
+/** Refusal of a request that may be a resend, by a daemon that has not asked the arbiter. */
+HttpResponse refuseResend(ErrorKind kind)
+{
+    return failure(kind == ErrorKind::BadRequest ? kind : ErrorKind::ResendRefused);
+}
+
 /** Answer to a caller: the hints between daemons are left out. */
 HttpResponse callerAnswer(CallAnswer answer)
 {
@@ -122,32 +128,32 @@
 
 void CallHandler::handleRoot(HttpRequest request, HttpResponder respond)
 {
-    if (draining_) {
-        respond(failure(ErrorKind::Draining));
+    const auto identityText = request.headers.find(HeaderName::kRequestId);
+    const auto refuse = [&](ErrorKind kind) { respond(identityText ? refuseResend(kind) : failure(kind)); };
+    // A resend is still taken while draining, since this process may hold the record of its identity.
+    if (draining_ && !identityText) {
+        refuse(ErrorKind::Draining);
         return;
     }
     const ConfigurationPtr configuration = services_.tables.configuration.current();
     if (!configuration || !gate_.mayServe()) {
-        respond(failure(ErrorKind::RulesNotFresh));
+        refuse(ErrorKind::RulesNotFresh);
         return;
     }
     Result<CallRequest> call = baseCall(request, *configuration);
     if (!call) {
-        respond(failure(call.error()));
+        refuse(call.error());
         return;
     }
     const RequestClass &requestClass = classify(configuration->rules, call->service, call->method, call->path);
     const Result<Millis> deadline = deadlineOf(request, requestClass);
-    std::optional<RequestIdentity> identity;
-    if (const auto text = request.headers.find(HeaderName::kRequestId)) {
-        identity = parseRequestIdentity(*text);
-        if (!identity) {
-            respond(failure(ErrorKind::BadRequest));
-            return;
-        }
-    }
     if (!deadline) {
-        respond(failure(deadline.error()));
+        refuse(deadline.error());
+        return;
+    }
+    const std::optional<RequestIdentity> identity = identityText ? parseRequestIdentity(*identityText) : std::nullopt;
+    if (identityText && !identity) {
+        refuse(ErrorKind::BadRequest);
         return;
     }
     // The identity in the answer lets the caller resend the same user action.
@@ -177,12 +183,12 @@
 {
     const ConfigurationPtr configuration = services_.tables.configuration.current();
     if (!configuration || !gate_.mayServe()) {
-        respond(failure(ErrorKind::RulesNotFresh));
+        respond(refuseResend(ErrorKind::RulesNotFresh));
         return;
     }
     Result<CallRequest> call = baseCall(request, *configuration);
     if (!call) {
-        respond(failure(call.error()));
+        respond(refuseResend(call.error()));
         return;
     }
     const int peak =
@@ -192,7 +198,7 @@
         services_.tables.scopes.with([&](CallScopeTable &scopes) { return scopes.beginChild(context, key, peak); });
     if (!child) {
         // The attempt has ended, so nobody waits for the result of this call.
-        respond(failure(ErrorKind::DeadlineBeforeRun));
+        respond(refuseResend(ErrorKind::DeadlineBeforeRun));
         return;
     }
     const bool repeatable = classify(configuration->rules, call->service, call->method, call->path).repeatable;
--- a/src/daemon/callhandler.h
+++ b/src/daemon/callhandler.h
@@ -11,7 +11,12 @@
 namespace Hibiscus
 {
 
-/** Calls of callers and of the local backend server, with targets of the form /svc/<service>/<path>. */
+/**
+ * Calls of callers and of the local backend server, with targets of the form /svc/<service>/<path>.
+ *
+ * A request with an identity may be a resend, and only the arbiter knows whether an earlier send ran. If this daemon
+ * refuses such a request without having asked the arbiter, the outcome is unknown.
+ */
 class CallHandler : public HttpHandler
 {
 public:
--- a/src/daemon/statuspage.cpp
+++ b/src/daemon/statuspage.cpp
@@ -39,10 +39,13 @@
 
 std::string formatStatusPage(const StatusSources &sources)
 {
-    nlohmann::json page{{"server", sources.self.server.value()},           {"domain", sources.self.domain.value()},
-                        {"incarnation", sources.self.incarnation.value()}, {"configVersion", sources.control.adopted.value()},
+    nlohmann::json page{{"server", sources.self.server.value()},
+                        {"domain", sources.self.domain.value()},
+                        {"incarnation", sources.self.incarnation.value()},
+                        {"configVersion", sources.control.adopted.value()},
                         {"draining", sources.draining},
-                        {"serverHealthy", sources.serverHealthy},         {"inFlight", sources.inFlight},
+                        {"serverHealthy", sources.serverHealthy},
+                        {"inFlight", sources.inFlight},
                         {"control", controlSection(sources.control)}};
     page["admission"] =
         sources.tables.admission.with([](const AdmissionController &admission) { return admissionSection(admission); });
--- a/src/execution/arbiter.cpp
+++ b/src/execution/arbiter.cpp
@@ -68,7 +68,9 @@
     const CallHash callHash(callKey);
     if (const auto owner = identities_.find(identity.sequence); owner != identities_.end()) {
         if (const auto call = owner->second.calls.find(callHash); call != owner->second.calls.end()) {
-            return claimKnown(owner->second, call->second, content, claim, wantedAttempts);
+            ClaimResult result = claimKnown(owner->second, call->second, content, claim, wantedAttempts);
+            result.mayHaveRun = call->second.mayHaveRun;
+            return result;
         }
     }
     return claimNew(identity.sequence, callHash, content, claim, wantedAttempts);
@@ -103,6 +105,15 @@
     return true;
 }
 
+bool Arbiter::markRepeatable(const RequestIdentity &identity, const std::string &callKey, ClaimId claim)
+{
+    if (!markNotRun(identity, callKey, claim)) {
+        return false;
+    }
+    currentCall(identity, callKey, claim)->mayHaveRun = true;
+    return true;
+}
+
 bool Arbiter::markUnknown(const RequestIdentity &identity, const std::string &callKey, ClaimId claim, ErrorKind reason)
 {
     CallRecord *call = currentCall(identity, callKey, claim);
--- a/src/execution/arbiter.h
+++ b/src/execution/arbiter.h
@@ -41,6 +41,8 @@
     int attempts = 0; ///< Attempts granted with the claim, at least 1 if Granted, otherwise 0.
     StoredAnswerPtr answer; ///< Set if Completed.
     std::optional<ErrorKind> error; ///< Set if Refused; its outcome tells whether the request may have run.
+    /** An earlier claim of the same call may have run, so a failure of this one must not be reported as "not run". */
+    bool mayHaveRun = false;
 };
 
 /** Bounds of the memory of an arbiter. */
@@ -103,6 +105,12 @@
     bool markUnknown(const RequestIdentity &identity, const std::string &callKey, ClaimId claim,
                      ErrorKind reason = ErrorKind::ConnectionLost);
 
+    /**
+     * Settles a running claim of a repeatable request that ran or may have run. It may be claimed again, and later
+     * claims carry ClaimResult::mayHaveRun.
+     */
+    bool markRepeatable(const RequestIdentity &identity, const std::string &callKey, ClaimId claim);
+
     /**
      * Takes up to @p wanted attempts of the user action for a call that needs no claim. Gives at least 1 or an error
      * as claim() does. Repeating the call with the same id gives the same attempts.
@@ -138,6 +146,7 @@
         Signature content;
         ClaimId claim;
         ErrorKind unknownReason = ErrorKind::Internal;
+        bool mayHaveRun = false; ///< Set by markRepeatable().
         StoredAnswerPtr answer;
         std::vector<ClaimId> endedClaims; ///< Claims that ended as not run; at most kAttemptsPerTap.
     };
--- a/src/execution/autotests/arbitertest.cpp
+++ b/src/execution/autotests/arbitertest.cpp
@@ -113,3 +113,24 @@
         CHECK(runScript(script) == answers);
     }
 }
+
+TEST_CASE("Arbiter: a repeatable request that may have run can be claimed again, but is never called not run")
+{
+    // Guards against "not run" for a resend that is refused after an earlier send had run.
+    ManualClock clock;
+    Arbiter arbiter(HostAddress("a:1"), Incarnation(7), clock);
+    const RequestIdentity tap = arbiter.issue();
+    CHECK_FALSE(arbiter.claim(tap, "", Signature(1), ClaimId(1)).mayHaveRun);
+    REQUIRE(arbiter.markNotRun(tap, "", ClaimId(1)));
+    CHECK_FALSE(arbiter.claim(tap, "", Signature(1), ClaimId(2)).mayHaveRun);
+    REQUIRE(arbiter.markRepeatable(tap, "", ClaimId(2)));
+    CHECK_FALSE(arbiter.markRepeatable(tap, "", ClaimId(2)));
+    for (std::uint64_t id = 3; id < 2 + kAttemptsPerTap; ++id) {
+        const ClaimResult result = arbiter.claim(tap, "", Signature(1), ClaimId(id));
+        CHECK(result.mayHaveRun);
+        arbiter.markNotRun(tap, "", ClaimId(id));
+    }
+    const ClaimResult exhausted = arbiter.claim(tap, "", Signature(1), ClaimId(1000));
+    CHECK(exhausted.state == ClaimState::Refused);
+    CHECK(exhausted.mayHaveRun);
+}
