Membership: a resumed process asks at once whether it was replaced

With it, the case of a predecessor that goes on under a reused name failed on the real code: polls that had queued up while the process was stopped made it believe that it was still the known one, and it replaced its successor. Only polls that echo a response sent after the stop count for that now.

--- a/src/membership/autotests/domainagenttest.cpp
+++ b/src/membership/autotests/domainagenttest.cpp
@@ -185,7 +185,7 @@
 
 } // namespace
 
-TEST_CASE("DomainAgent: fault cases, each starting from two settled domains of five")
+TEST_CASE("DomainAgent: fault cases, each starting from settled domains of five and four")
 {
     struct Case {
         std::string guards;
@@ -290,6 +290,23 @@
              s.resume(replaced);
          },
          30000, [](const Simulation &s) { return s.accepted() == s.latest(); }},
+        {"two halves of a domain that both serve without the platform",
+         [](Simulation &s) {
+             for (const std::size_t i : {5, 6}) {
+                 s.processes[i]->island = 1;
+             }
+             for (const std::size_t i : indicesOf(s, "d1")) {
+                 s.processes[i]->platformCut = true;
+             }
+             for (const std::size_t i : {7, 8}) {
+                 s.processes[i]->island = 2;
+             }
+         },
+         8000,
+         [](const Simulation &s) {
+             return std::ranges::none_of(indicesOf(s, "d1"),
+                                         [&](std::size_t i) { return s.processes[i]->agent->fresh(); });
+         }},
         {"a process stopped with a valid lease when a change is accepted",
          [](Simulation &s) {
              s.pause(2);
@@ -319,7 +336,7 @@
     };
     for (const Case &item : cases) {
         CAPTURE(item.guards);
-        Simulation simulation({5, 5}, 7);
+        Simulation simulation({5, 4}, 7);
         simulation.run(20000);
         REQUIRE(simulation.allCurrent());
         item.fault(simulation);
--- a/src/membership/autotests/simulation.cpp
+++ b/src/membership/autotests/simulation.cpp
@@ -261,6 +261,9 @@
 
 void Simulation::complete(std::size_t process, PlatformCallId id, PlatformResult result)
 {
+    if (processes[process]->platformCut && result.status != PlatformResult::Status::Unavailable) {
+        return; // The answer to a call made before the cut is lost.
+    }
     at(delay(), [this, process, id, result = std::move(result)] {
         on(process, [id, result](DomainAgent &agent) { return agent.platformCompleted(id, result); });
     });
--- a/src/membership/domainagentstate.cpp
+++ b/src/membership/domainagentstate.cpp
@@ -92,6 +92,10 @@
         log(LogEvent::PauseDetected, std::to_string((time - *lastEntry_).value) + " ms");
         lease_.noteGap(time);
         stopped_ = true;
+        resumedAt_ = time;
+        // Asks at once whether another process was started under this name.
+        announced_ = false;
+        nextSeek_ = time;
         // What was missed while stopped says nothing about the others.
         lastPoll_ = time;
         for (auto &[name, heardAt] : heardAt_) {
@@ -434,7 +438,10 @@
     notePollOfAgent(origin, poll);
     noteVersion(from);
     noteView(from);
+    // Polls that arrived while this process was stopped don't show that it is still the one known under its name.
+    bool sentSinceStop = !stopped_;
     if (poll.lease && poll.lease->receiver == lowHalf(own_.incarnation.value())) {
+        sentSinceStop = sentSinceStop || poll.lease->echo > resumedAt_;
         lease_.grantRemainder(poll.lease->echo, poll.lease->remaining, poll.version, now());
     }
     if (poll.group != 0) {
@@ -445,7 +452,7 @@
         }
     }
     noteOwnRevision(poll.knownRevision, poll.knownUp);
-    if (poll.knownUp && poll.knownRevision == own_.revision) {
+    if (sentSinceStop && poll.knownUp && poll.knownRevision == own_.revision) {
         announced_ = true;
         stopped_ = false;
     }
@@ -541,7 +548,8 @@
     lease_.grantRemainder(request.sentAt, response.leaseRemaining, response.from->version, now());
     noteVersion(*response.from);
     noteAgentOf(response.from->domain, response.agent, response.agentAddress);
-    if (agent_ ? response.from->domain == own_.domain : now() - lastContact_ > kRoundLength * 2) {
+    const bool polled = now() - lastContact_ <= kRoundLength * 2;
+    if (agent_ ? response.from->domain == own_.domain : stopped_ || !polled) {
         noteView(*response.from);
     }
 }
--- a/src/membership/domainagentstate.h
+++ b/src/membership/domainagentstate.h
@@ -192,6 +192,7 @@
     std::set<FailureDomainName> unreachable_;
 
     bool stopped_ = false; ///< Was stopped, and has not been polled under its own record since.
+    TimePoint resumedAt_;
     bool wasFresh_ = false;
     TimePoint nextHeadroom_;
 };
