--- a/src/membership/autotests/domainagenttest.cpp
+++ b/src/membership/autotests/domainagenttest.cpp
@@ -386,5 +386,11 @@
         for (const auto &[name, count] : requests) {
             CHECK(count <= 60 * 18);
         }
+        // A change passes the platform's watch, the agent and the relays within four rounds.
+        simulation.operatorChange();
+        simulation.run(4000);
+        CHECK(std::ranges::all_of(simulation.processes, [&](const auto &process) {
+            return process->agent->adopted() == simulation.latest();
+        }));
     }
 }
