Arbiter: settle a repeatable claim without a null record; daemons exit when replaced

Cause: markRepeatable() looked its record up again after it had been marked not run, which such a lookup no longer finds; the process crashed on the first identified repeatable request. Also: a daemon that another process has replaced under its name exits with code 5; hibiscusctl refuses a second change of rosters before the first is accepted, which the membership's argument assumes; each with a test or log event.

--- a/src/apps/hibiscusd/main.cpp
+++ b/src/apps/hibiscusd/main.cpp
@@ -18,6 +18,7 @@
 constexpr int kExitOk = 0;
 constexpr int kExitBadSettings = 2;
 constexpr int kExitListener = 4;
+constexpr int kExitSuperseded = 5;
 constexpr std::chrono::milliseconds kPollInterval{50};
 /** After the last request the process stays this long, so that outcome queries find its answers. */
 constexpr std::chrono::milliseconds kOutcomeLinger{5000};
@@ -109,10 +110,14 @@
         daemon.stop();
         return kExitListener;
     }
-    while (stopSignals == 0) {
+    while (stopSignals == 0 && !daemon.superseded()) {
         std::this_thread::sleep_for(kPollInterval);
     }
+    const bool superseded = daemon.superseded();
+    if (superseded) {
+        Hibiscus::logEvent(Hibiscus::LogEvent::DaemonSuperseded, settings.server.value());
+    }
     drainUntilIdle(daemon);
     daemon.stop();
-    return kExitOk;
+    return superseded ? kExitSuperseded : kExitOk;
 }
--- a/src/core/logevent.cpp
+++ b/src/core/logevent.cpp
@@ -11,12 +11,13 @@
 namespace
 {
 
-constexpr std::array<LogEventInfo, 24> kEvents{{
+constexpr std::array<LogEventInfo, 25> kEvents{{
     {LogEvent::DaemonStarted, "daemon-started", Severity::Info},
     {LogEvent::DaemonDraining, "daemon-draining", Severity::Info},
     {LogEvent::DaemonStopped, "daemon-stopped", Severity::Info},
     {LogEvent::ListenerFailed, "listener-failed", Severity::Error},
     {LogEvent::PauseDetected, "pause-detected", Severity::Warning},
+    {LogEvent::DaemonSuperseded, "daemon-superseded", Severity::Error},
     {LogEvent::ServerUnhealthy, "server-unhealthy", Severity::Warning},
     {LogEvent::ServerHealthy, "server-healthy", Severity::Info},
     {LogEvent::ServerCrashed, "server-crashed", Severity::Error},
--- a/src/core/logevent.h
+++ b/src/core/logevent.h
@@ -14,6 +14,7 @@
     DaemonStopped = 1003,
     ListenerFailed = 1004,
     PauseDetected = 1005,
+    DaemonSuperseded = 1006,
     ServerUnhealthy = 2001,
     ServerHealthy = 2002,
     ServerCrashed = 2003,
--- a/src/ctl/applycommand.cpp
+++ b/src/ctl/applycommand.cpp
@@ -7,6 +7,7 @@
 #include "ctl/confirmations.h"
 
 #include <algorithm>
+#include <set>
 
 namespace Hibiscus
 {
@@ -63,6 +64,21 @@
     return result;
 }
 
+/** Servers with their failure domains. */
+std::set<std::pair<ServerName, FailureDomainName>> placement(const Inventory &inventory)
+{
+    std::set<std::pair<ServerName, FailureDomainName>> result;
+    for (const BackendServerEntry &server : inventory.servers) {
+        result.emplace(server.name, server.domain);
+    }
+    return result;
+}
+
+bool changesRoster(const Inventory &before, const Inventory &after)
+{
+    return placement(before) != placement(after);
+}
+
 CommandResult unknownOutcome(const Configuration &next)
 {
     const AuditEntry &change = next.audit.back();
@@ -111,9 +127,32 @@
     if (request.base && *request.base != current.version) {
         return reportConflict(*request.base, deadline);
     }
+    if (loaded->has_value() && changesRoster(current.inventory, request.files.inventory)) {
+        if (std::optional<CommandResult> refusal = checkRosterChange(current)) {
+            return std::move(*refusal);
+        }
+    }
     return write(request, current, changes, deadline);
 }
 
+std::optional<CommandResult> ApplyCommand::checkRosterChange(const Configuration &current)
+{
+    Confirmations confirmations(store_, current.inventory);
+    if (!confirmations.look(current.version)) {
+        return failure(ExitCode::Unavailable, "the platform does not answer; nothing was written");
+    }
+    const std::vector<std::string> missing = confirmations.missing(current.version);
+    if (missing.empty()) {
+        return std::nullopt;
+    }
+    CommandResult result = failure(ExitCode::Pending,
+                                   "the change moves, adds or removes servers, and " + versionText(current.version)
+                                       + " is not confirmed by " + joinNames(missing)
+                                       + " yet; nothing was written. Apply it again once that version is accepted");
+    result.details = {{"result", "roster-change-refused"}, {"unconfirmed", missing}};
+    return result;
+}
+
 CommandResult ApplyCommand::write(const ApplyRequest &request, const Configuration &current,
                                   const std::vector<std::string> &changes, TimePoint deadline)
 {
--- a/src/ctl/applycommand.h
+++ b/src/ctl/applycommand.h
@@ -42,6 +42,9 @@
 private:
     CommandResult write(const ApplyRequest &request, const Configuration &current,
                         const std::vector<std::string> &changes, TimePoint deadline);
+    /** Refusal of a change of rosters; empty if it may be written. The majorities by which failure domains confirm are
+     * only compared between one roster and the next. */
+    std::optional<CommandResult> checkRosterChange(const Configuration &current);
     CommandResult reportConflict(ConfigVersion base, TimePoint deadline);
     CommandResult awaitConfirmations(const Configuration &configuration, TimePoint deadline);
     /** Moves entries that the object can't keep into objects of their own, and shortens a long summary likewise. */
--- a/src/ctl/autotests/applycommandtest.cpp
+++ b/src/ctl/autotests/applycommandtest.cpp
@@ -221,3 +221,21 @@
     CHECK(contains(whole, "extra-899: service desk"));
     CHECK(HistoryCommand(bench.store).run({100, "other"}).code == ExitCode::Invalid);
 }
+
+TEST_CASE("apply: servers are only moved, added or removed on an accepted configuration")
+{
+    // Guards against two roster changes in a row, after which a domain's old and new majorities need not overlap.
+    Bench bench;
+    bench.confirm("a", 1);
+    REQUIRE(apply(bench, exampleRequest(10, {})).code == ExitCode::Pending);
+    ApplyRequest moved = exampleRequest(10, 1);
+    moved.files.inventory.servers.push_back(moved.files.inventory.servers.front());
+    moved.files.inventory.servers.back().name = ServerName("new-server");
+    const CommandResult refused = apply(bench, moved);
+    CHECK(refused.code == ExitCode::Pending);
+    CHECK(refused.details["result"] == "roster-change-refused");
+    CHECK(stored(bench).version == ConfigVersion(1));
+    bench.confirm("b", 1);
+    apply(bench, moved);
+    CHECK(stored(bench).version == ConfigVersion(2));
+}
--- a/src/daemon/controlloop.cpp
+++ b/src/daemon/controlloop.cpp
@@ -270,8 +270,8 @@
     const Millis remaining = agent_.leaseRemaining();
     // The clock was read first, so the stored expiry is never later than the lease's own.
     leaseExpiry_ = agent_.fresh() ? (now + remaining).value : 0;
-    ControlStatus status{agent_.adopted(), agent_.confirmed(), remaining, agent_.knownAgent(),
-                         agent_.isAgent(), platformAvailable_, members_};
+    ControlStatus status{agent_.adopted(), agent_.confirmed(),  remaining,          agent_.knownAgent(),
+                         agent_.isAgent(), agent_.superseded(), platformAvailable_, members_};
     const std::lock_guard lock(statusMutex_);
     status_ = std::move(status);
 }
--- a/src/daemon/controlloop.h
+++ b/src/daemon/controlloop.h
@@ -30,6 +30,7 @@
     Millis leaseRemaining;
     ServerName agent;
     bool isAgent = false;
+    bool superseded = false; ///< Another process runs under this name.
     bool platformAvailable = false;
     std::shared_ptr<const std::vector<MemberRecord>> members = std::make_shared<std::vector<MemberRecord>>();
 };
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -321,6 +321,11 @@
     return d_->inFlight();
 }
 
+bool Daemon::superseded() const
+{
+    return d_->control->status().superseded;
+}
+
 void Daemon::stop()
 {
     if (d_->workers.empty()) {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -29,6 +29,9 @@
     /** Requests in progress, of callers and on the local backend server. */
     std::size_t inFlight() const;
 
+    /** Another process has replaced this one under its server's name, so it must exit. */
+    bool superseded() const;
+
     /** Closes the listeners and ends the workers. */
     void stop();
 
--- a/src/execution/arbiter.cpp
+++ b/src/execution/arbiter.cpp
@@ -107,10 +107,11 @@
 
 bool Arbiter::markRepeatable(const RequestIdentity &identity, const std::string &callKey, ClaimId claim)
 {
-    if (!markNotRun(identity, callKey, claim)) {
+    CallRecord *call = currentCall(identity, callKey, claim);
+    if (call == nullptr || !markNotRun(identity, callKey, claim)) {
         return false;
     }
-    currentCall(identity, callKey, claim)->mayHaveRun = true;
+    call->mayHaveRun = true;
     return true;
 }
 
--- a/src/membership/autotests/domainagenttest.cpp
+++ b/src/membership/autotests/domainagenttest.cpp
@@ -352,7 +352,7 @@
     // leases.
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
         CAPTURE(seed);
-        Simulation simulation(1, 12, seed);
+        Simulation simulation({12}, seed);
         simulation.run(20000 + static_cast<double>(seed) * 50);
         REQUIRE(simulation.allCurrent());
         simulation.kill(agentOf(simulation, "d0"));
