caller: leave answers after the deadline out of the goodput

A resend has a deadline of its own, so an action with a deadline of 2 s counted as goodput up to 10 s after it was due. Goodput now needs the answer within the deadline of the action; later ones are counted as late.

--- a/tools/caller/loadgenerator.cpp
+++ b/tools/caller/loadgenerator.cpp
@@ -68,8 +68,8 @@
         settings_.tagPrefix = fmt::format("s{}", settings_.seed);
     }
     for (const LoadClass &loadClass : settings_.classes) {
-        streams_.push_back(
-            {loadClass, ArrivalProcess(arrivalsOf(settings_, loadClass), random_()), LoadStats(loadClass.name)});
+        streams_.push_back({loadClass, ArrivalProcess(arrivalsOf(settings_, loadClass), random_()),
+                            LoadStats(loadClass.name, loadClass.deadline)});
     }
 }
 
--- a/tools/caller/loadstats.cpp
+++ b/tools/caller/loadstats.cpp
@@ -31,8 +31,9 @@
 
 } // namespace
 
-LoadStats::LoadStats(std::string name)
+LoadStats::LoadStats(std::string name, Millis deadline)
     : name_(std::move(name))
+    , deadline_(deadline)
 {
 }
 
@@ -59,7 +60,11 @@
     case Verdict::Completed:
         ++completed_;
         latencies_.push_back((now - due).value);
-        countWindow(completedByWindow_, now);
+        if (now - due > deadline_) {
+            ++late_;
+        } else {
+            countWindow(completedByWindow_, now);
+        }
         return;
     case Verdict::Failed:
         ++failed_;
@@ -97,6 +102,7 @@
     report["offered"] = offered_;
     report["dropped_by_caller"] = dropped_;
     report["completed"] = completed_;
+    report["late"] = late_;
     report["failed"] = failed_;
     report["wrong"] = wrong_;
     report["not_run"] = notRun_;
--- a/tools/caller/loadstats.h
+++ b/tools/caller/loadstats.h
@@ -19,7 +19,8 @@
 class LoadStats
 {
 public:
-    explicit LoadStats(std::string name);
+    /** @p deadline counts from the time a request was due, resends included. */
+    LoadStats(std::string name, Millis deadline);
 
     /** A request is due; @p dropped if the caller itself has too many outstanding. */
     void offered(TimePoint due, bool dropped);
@@ -59,9 +60,11 @@
 
 private:
     std::string name_;
+    Millis deadline_;
     std::uint64_t offered_ = 0;
     std::uint64_t dropped_ = 0;
     std::uint64_t completed_ = 0;
+    std::uint64_t late_ = 0; ///< Completed after the deadline; not part of the goodput.
     std::uint64_t failed_ = 0;
     std::uint64_t wrong_ = 0;
     std::uint64_t notRun_ = 0;
