Take a dead backend server out of the choice; smaller cut for small servers

Ruled out: more retries, since the budget bounds them on purpose. An unreachable answer now counts towards ejection like a failed connect, a server that is down is announced as draining, and the cut limit is rounded up.

--- a/src/admission/concurrencylimit.cpp
+++ b/src/admission/concurrencylimit.cpp
@@ -1,6 +1,7 @@
 #include "admission/concurrencylimit.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Hibiscus
 {
@@ -208,7 +209,8 @@
     const double rate = trial_->completed / std::max(trial_->measured.value, 1.0);
     if (enough && !trial_->rateBefore) {
         trial_->rateBefore = rate;
-        limit_ *= kTrialFactor;
+        // Rounded up, since a cut of a few slots to the next lower number would halve the throughput of a small server.
+        limit_ = std::ceil(limit_ * kTrialFactor);
         measureRate(now);
         return;
     }
--- a/src/daemon/callattempts.cpp
+++ b/src/daemon/callattempts.cpp
@@ -261,8 +261,10 @@
         hint.level = Level{*answer.level};
     }
     const TimePoint now = services_.clock.now();
+    // A daemon whose backend server is down answers at once, and would attract calls by its short queue.
+    const bool serverDown = !answer.response && answer.response.error() == ErrorKind::Unreachable;
     services_.routing.with([&](RoutingTable &routing) {
-        if (!connected) {
+        if (!connected || serverDown) {
             routing.connectFailed(call_.service, attempt->server.name);
             return;
         }
--- a/src/daemon/controlloop.cpp
+++ b/src/daemon/controlloop.cpp
@@ -104,8 +104,7 @@
 
 ControlLoop::ControlLoop(asio::io_context &context, HttpClient &client, ObjectStore &store, AgentSettings settings,
                          const Clock &clock, Callbacks callbacks)
-    : context_(context)
-    , client_(client)
+    : client_(client)
     , store_(store)
     , clock_(clock)
     , callbacks_(std::move(callbacks))
--- a/src/daemon/controlloop.h
+++ b/src/daemon/controlloop.h
@@ -80,7 +80,6 @@
     PlatformResult executePlatformCall(const PlatformCall &call);
     void publishStatus();
 
-    asio::io_context &context_;
     HttpClient &client_;
     ObjectStore &store_;
     const Clock &clock_;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -252,7 +252,8 @@
     publishCrashes();
     const int headroom =
         tables.admission.with([](const AdmissionController &admission) { return admission.headroom(); });
-    control->setLocalState(draining, headroom);
+    // A server that is down takes no new work, as one that drains.
+    control->setLocalState(draining || !health.healthy(), headroom);
 }
 
 std::string Daemon::Private::statusPage() const
