--- a/src/core/attemptlimit.h
+++ b/src/core/attemptlimit.h
@@ -5,7 +5,7 @@
 {
 
 /** Attempts of one user action over all hops, child calls, retries and resends. */
-constexpr int kAttemptsPerTap = 64;
+constexpr int kAttemptsPerUserAction = 64;
 
 } // namespace Hibiscus
 
--- a/src/daemon/callattempts.cpp
+++ b/src/daemon/callattempts.cpp
@@ -1,5 +1,6 @@
 #include "daemon/callattempts.h"
 
+#include "core/chronotime.h"
 #include "core/logevent.h"
 #include "daemon/headernames.h"
 
@@ -26,11 +27,6 @@
 constexpr Millis kNonRepeatableGrace{10000};
 constexpr int kStatusRunning = 202;
 
-std::chrono::microseconds toChrono(Millis duration)
-{
-    return std::chrono::microseconds(static_cast<long>(std::max(0.0, duration.value) * 1000));
-}
-
 } // namespace
 
 CallAttempts::CallAttempts(CallServices &services, CallRequest call, CallCallback callback)
@@ -143,10 +139,7 @@
         return;
     }
     if (error == TransportError::ConnectFailed || error == TransportError::NotWritten) {
-        CallAnswer answer;
-        answer.response = tl::unexpected(ErrorKind::Unreachable);
-        answer.spent = 0;
-        endAttempt(attempt, answer, error != TransportError::ConnectFailed);
+        endAttempt(attempt, failedAnswer(ErrorKind::Unreachable), error != TransportError::ConnectFailed);
         afterFailure(ErrorKind::Unreachable, true);
         return;
     }
@@ -184,9 +177,7 @@
         return;
     }
     if (services_.clock.now() >= endBy()) {
-        CallAnswer answer;
-        answer.response = tl::unexpected(ErrorKind::DeadlineExceeded);
-        onAnswer(attempt, std::move(answer));
+        onAnswer(attempt, failedAnswer(ErrorKind::DeadlineExceeded));
         return;
     }
     attempt->queryPending = true;
@@ -229,9 +220,7 @@
         armQueryTimer(attempt, kQueryInterval);
         return;
     }
-    CallAnswer answer;
-    answer.response = tl::unexpected(ErrorKind::ConnectionLost);
-    onAnswer(attempt, std::move(answer));
+    onAnswer(attempt, failedAnswer(ErrorKind::ConnectionLost));
 }
 
 CallAnswer CallAttempts::believedAnswer(const Attempt &attempt, CallAnswer answer) const
--- a/src/daemon/callcoordinator.cpp
+++ b/src/daemon/callcoordinator.cpp
@@ -1,6 +1,9 @@
 #include "daemon/callcoordinator.h"
 
+#include "core/chronotime.h"
+
 #include "daemon/callattempts.h"
+#include "daemon/callmessage.h"
 #include "daemon/headernames.h"
 
 #include <algorithm>
@@ -16,27 +19,12 @@
 {
 
 /** Attempts that the root call takes at once; the rest is kept for resends while it runs and for claims below it. */
-constexpr int kRootAttempts = kAttemptsPerTap - 8;
+constexpr int kRootAttempts = kAttemptsPerUserAction - 8;
 /** Time between two looks at a claim that another request holds. */
 constexpr Millis kWaitInterval{20};
 /** Wait before a call is handed to its arbiter again after the connection was lost. */
 constexpr Millis kForwardInterval{100};
 
-std::chrono::microseconds toChrono(Millis duration)
-{
-    return std::chrono::microseconds(static_cast<long>(std::max(0.0, duration.value) * 1000));
-}
-
-CallAnswer failure(ErrorKind kind)
-{
-    CallAnswer answer;
-    answer.response = tl::unexpected(kind);
-    if (answer.outcome() == Outcome::NotRun) {
-        answer.spent = 0;
-    }
-    return answer;
-}
-
 CallAnswer fromStored(const StoredAnswer &stored)
 {
     HttpResponse response;
@@ -93,7 +81,7 @@
     const std::optional<RequestIdentity> &identity = call.root.identity;
     const bool isRoot = call.callPath.empty();
     if (!identity && !call.repeatable) {
-        callback(failure(ErrorKind::IdentityRequired));
+        callback(failedAnswer(ErrorKind::IdentityRequired));
         return;
     }
     if (!identity || (!isRoot && call.repeatable)) {
@@ -117,7 +105,7 @@
     HttpCallOptions options;
     options.answerTimeout = call.deadline - services_.clock.now() + kForwardInterval;
     if (options.answerTimeout.value <= 0) {
-        callback(failure(ErrorKind::DeadlineExceeded));
+        callback(failedAnswer(ErrorKind::DeadlineExceeded));
         return;
     }
     HttpRequest request = encodeCall({CallPurpose::Coordinate, {}, {}, call}, services_.clock);
@@ -130,11 +118,11 @@
             }
             if (result.error() == TransportError::ConnectFailed) {
                 // The process that knows about earlier attempts is gone or out of reach.
-                callback(failure(ErrorKind::ArbiterLost));
+                callback(failedAnswer(ErrorKind::ArbiterLost));
                 return;
             }
             if (services_.clock.now() + kForwardInterval >= call.deadline) {
-                callback(failure(ErrorKind::DeadlineExceeded));
+                callback(failedAnswer(ErrorKind::DeadlineExceeded));
                 return;
             }
             // Handing the call over again is safe, since the arbiter joins it with the earlier one.
@@ -164,7 +152,7 @@
         claim->answer(fromStored(*result.answer));
         return;
     case ClaimState::Refused:
-        claim->answer(failure(*result.error));
+        claim->answer(failedAnswer(*result.error));
         return;
     }
 }
@@ -172,7 +160,7 @@
 void CallCoordinator::waitForOther(const std::shared_ptr<Claim> &waiting)
 {
     if (services_.clock.now() >= waiting->call.deadline) {
-        waiting->answer(failure(ErrorKind::InProgress));
+        waiting->answer(failedAnswer(ErrorKind::InProgress));
         return;
     }
     after(services_.context, kWaitInterval, [this, waiting] { claim(waiting); });
@@ -198,7 +186,7 @@
 {
     after(services_.context, owner->call.deadline - services_.clock.now(), [owner] {
         if (!owner->answered) {
-            owner->answer(failure(ErrorKind::DeadlineExceeded));
+            owner->answer(failedAnswer(ErrorKind::DeadlineExceeded));
         }
     });
 }
--- a/src/daemon/callhandler.cpp
+++ b/src/daemon/callhandler.cpp
@@ -5,7 +5,6 @@
 #include "daemon/headernames.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace Hibiscus
 {
@@ -15,28 +14,15 @@
 
 constexpr int kBuckets = 128;
 
-template<class Number>
-std::optional<Number> parseNumber(std::string_view text, int base)
+HttpResponse refusal(ErrorKind kind)
 {
-    Number value{};
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value, base);
-    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
-        return std::nullopt;
-    }
-    return value;
-}
-
-HttpResponse failure(ErrorKind kind)
-{
-    CallAnswer answer;
-    answer.response = tl::unexpected(kind);
-    return encodeAnswer(std::move(answer));
+    return encodeAnswer(failedAnswer(kind));
 }
 
 /** Refusal of a request that may be a resend, by a daemon that has not asked the arbiter. */
 HttpResponse refuseResend(ErrorKind kind)
 {
-    return failure(kind == ErrorKind::BadRequest ? kind : ErrorKind::ResendRefused);
+    return refusal(kind == ErrorKind::BadRequest ? kind : ErrorKind::ResendRefused);
 }
 
 /** Answer to a caller: the hints between daemons are left out. */
@@ -56,7 +42,7 @@
     if (!text) {
         return requestClass.deadline;
     }
-    const auto wanted = parseNumber<std::uint32_t>(*text, 10);
+    const auto wanted = parseUnsigned(*text);
     if (!wanted) {
         return tl::unexpected(ErrorKind::BadRequest);
     }
@@ -88,9 +74,9 @@
         handleRoot(std::move(request), std::move(respond));
         return;
     }
-    const auto attempt = parseNumber<std::uint64_t>(*context, 16);
+    const auto attempt = parseUnsigned(*context, 16);
     if (!attempt) {
-        respond(failure(ErrorKind::BadRequest));
+        respond(refusal(ErrorKind::BadRequest));
         return;
     }
     handleChild(AttemptId(*attempt), std::move(request), std::move(respond));
@@ -129,7 +115,7 @@
 void CallHandler::handleRoot(HttpRequest request, HttpResponder respond)
 {
     const auto identityText = request.headers.find(HeaderName::kRequestId);
-    const auto refuse = [&](ErrorKind kind) { respond(identityText ? refuseResend(kind) : failure(kind)); };
+    const auto refuse = [&](ErrorKind kind) { respond(identityText ? refuseResend(kind) : refusal(kind)); };
     // A resend is still taken while draining, since this process may hold the record of its identity.
     if (draining_ && !identityText) {
         refuse(ErrorKind::Draining);
@@ -164,7 +150,7 @@
     call->root = {requestClass.name, requestClass.rank, static_cast<int>(stableHash(name) % kBuckets), identity};
     call->repeatable = requestClass.repeatable;
     call->deadline = started + *deadline;
-    call->allowance = kAttemptsPerTap;
+    call->allowance = kAttemptsPerUserAction;
     ++activeCalls_;
     coordinator_.run(
         std::move(*call),
--- a/src/daemon/callmessage.cpp
+++ b/src/daemon/callmessage.cpp
@@ -152,6 +152,26 @@
     return message;
 }
 
+std::optional<std::uint64_t> parseUnsigned(std::string_view text, int base)
+{
+    std::uint64_t value = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value, base);
+    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+CallAnswer failedAnswer(ErrorKind kind)
+{
+    CallAnswer answer;
+    answer.response = tl::unexpected(kind);
+    if (answer.outcome() == Outcome::NotRun) {
+        answer.spent = 0;
+    }
+    return answer;
+}
+
 HttpResponse encodeAnswer(CallAnswer answer)
 {
     HttpResponse response;
--- a/src/daemon/callmessage.h
+++ b/src/daemon/callmessage.h
@@ -4,7 +4,9 @@
 #include "core/clock.h"
 #include "daemon/callrequest.h"
 
+#include <cstdint>
 #include <optional>
+#include <string_view>
 
 namespace Hibiscus
 {
@@ -36,6 +38,12 @@
 HttpRequest encodeCall(const CallMessage &message, const Clock &clock);
 Result<CallMessage> decodeCall(HttpRequest request, const Clock &clock);
 
+/** Whole decimal number in @p text, or of another @p base; empty if it is anything else. */
+std::optional<std::uint64_t> parseUnsigned(std::string_view text, int base = 10);
+
+/** Call that ended without a backend server's answer. One that did not run has used no attempts. */
+CallAnswer failedAnswer(ErrorKind kind);
+
 /** Answer between daemons, and, without the hints, to callers. */
 HttpResponse encodeAnswer(CallAnswer answer);
 
--- a/src/daemon/peershandler.cpp
+++ b/src/daemon/peershandler.cpp
@@ -2,8 +2,6 @@
 
 #include "daemon/headernames.h"
 
-#include <charconv>
-
 namespace Hibiscus
 {
 
@@ -14,21 +12,9 @@
 constexpr int kStatusOk = 200;
 constexpr int kStatusRunning = 202;
 
-std::optional<std::uint64_t> parseNumber(std::string_view text)
-{
-    std::uint64_t value = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
-        return std::nullopt;
-    }
-    return value;
-}
-
-HttpResponse failure(ErrorKind kind)
+HttpResponse refusal(ErrorKind kind)
 {
-    CallAnswer answer;
-    answer.response = tl::unexpected(kind);
-    return encodeAnswer(std::move(answer));
+    return encodeAnswer(failedAnswer(kind));
 }
 
 HttpResponse encodeReport(const OutcomeReport &report)
@@ -46,12 +32,12 @@
         return encodeAnswer(std::move(answer));
     }
     case AttemptOutcome::NotRun:
-        return failure(ErrorKind::Unreachable);
+        return refusal(ErrorKind::Unreachable);
     case AttemptOutcome::CompletedNotKept:
     case AttemptOutcome::Unknown:
         break;
     }
-    return failure(ErrorKind::ConnectionLost);
+    return refusal(ErrorKind::ConnectionLost);
 }
 
 } // namespace
@@ -84,7 +70,7 @@
 {
     Result<CallMessage> message = decodeCall(std::move(request), services_.clock);
     if (!message) {
-        respond(failure(message.error()));
+        respond(refusal(message.error()));
         return;
     }
     if (message->purpose == CallPurpose::Coordinate) {
@@ -103,10 +89,10 @@
 
 HttpResponse PeersHandler::queryOutcome(const HttpRequest &request)
 {
-    const auto attempt = parseNumber(std::string_view(request.target).substr(kAttemptsPrefix.size()));
-    const auto incarnation = parseNumber(request.headers.find(HeaderName::kIncarnation).value_or(""));
+    const auto attempt = parseUnsigned(std::string_view(request.target).substr(kAttemptsPrefix.size()));
+    const auto incarnation = parseUnsigned(request.headers.find(HeaderName::kIncarnation).value_or(""));
     if (!attempt || !incarnation) {
-        return failure(ErrorKind::BadRequest);
+        return refusal(ErrorKind::BadRequest);
     }
     return encodeReport(services_.tables.attempts.with(
         [&](AttemptTable &attempts) { return attempts.query(AttemptId(*attempt), Incarnation(*incarnation)); }));
--- a/src/daemon/servergateway.cpp
+++ b/src/daemon/servergateway.cpp
@@ -87,9 +87,7 @@
     });
     if (begun != BeginResult::Begun) {
         const bool duplicate = begun == BeginResult::AlreadyBegun;
-        CallAnswer answer;
-        answer.response = tl::unexpected(duplicate ? ErrorKind::InProgress : ErrorKind::Overloaded);
-        finish(pending, std::move(answer));
+        finish(pending, failedAnswer(duplicate ? ErrorKind::InProgress : ErrorKind::Overloaded));
         return false;
     }
     if (!gate_.mayServe()) {
@@ -265,9 +263,7 @@
 
 void ServerGateway::reject(const PendingPtr &pending, ErrorKind kind)
 {
-    CallAnswer answer;
-    answer.response = tl::unexpected(kind);
-    answer.spent = 0;
+    CallAnswer answer = failedAnswer(kind);
     settle(pending->message, answer);
     finish(pending, std::move(answer));
 }
--- a/src/execution/arbiter.cpp
+++ b/src/execution/arbiter.cpp
@@ -188,7 +188,7 @@
         return 0;
     }
     const auto owner = identities_.find(identity.sequence);
-    return owner == identities_.end() ? kAttemptsPerTap : owner->second.attemptsLeft;
+    return owner == identities_.end() ? kAttemptsPerUserAction : owner->second.attemptsLeft;
 }
 
 std::size_t Arbiter::recordCount() const
--- a/src/execution/arbiter.h
+++ b/src/execution/arbiter.h
@@ -148,7 +148,7 @@
         ErrorKind unknownReason = ErrorKind::Internal;
         bool mayHaveRun = false; ///< Set by markRepeatable().
         StoredAnswerPtr answer;
-        std::vector<ClaimId> endedClaims; ///< Claims that ended as not run; at most kAttemptsPerTap.
+        std::vector<ClaimId> endedClaims; ///< Claims that ended as not run; at most kAttemptsPerUserAction.
     };
 
     struct Grant {
@@ -171,7 +171,7 @@
         int take(ClaimId claim, int wanted, bool ofClaim);
         std::vector<Grant>::iterator findGrant(ClaimId claim);
 
-        int attemptsLeft = kAttemptsPerTap;
+        int attemptsLeft = kAttemptsPerUserAction;
         std::vector<Grant> grants; ///< Not yet returned; each holds 1 attempt or more.
         std::map<CallHash, CallRecord> calls;
     };
--- a/src/execution/autotests/arbitertest.cpp
+++ b/src/execution/autotests/arbitertest.cpp
@@ -125,7 +125,7 @@
     CHECK_FALSE(arbiter.claim(tap, "", Signature(1), ClaimId(2)).mayHaveRun);
     REQUIRE(arbiter.markRepeatable(tap, "", ClaimId(2)));
     CHECK_FALSE(arbiter.markRepeatable(tap, "", ClaimId(2)));
-    for (std::uint64_t id = 3; id < 2 + kAttemptsPerTap; ++id) {
+    for (std::uint64_t id = 3; id < 2 + kAttemptsPerUserAction; ++id) {
         const ClaimResult result = arbiter.claim(tap, "", Signature(1), ClaimId(id));
         CHECK(result.mayHaveRun);
         arbiter.markNotRun(tap, "", ClaimId(id));
--- a/src/execution/autotests/atmostoncetest.cpp
+++ b/src/execution/autotests/atmostoncetest.cpp
@@ -131,7 +131,7 @@
         for (const Caller &holder : callers_) {
             held += holder.identity == caller.identity ? holder.unspent : 0;
         }
-        RC_ASSERT(held <= kAttemptsPerTap);
+        RC_ASSERT(held <= kAttemptsPerUserAction);
         caller.phase = Phase::Dispatched;
         caller.attempt = AttemptId(++lastAttempt_);
         caller.executor = executorIncarnation_;
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -1,5 +1,6 @@
 #include "http/httpclient.h"
 
+#include "core/chronotime.h"
 #include "core/steadyclock.h"
 #include "http/answerparser.h"
 #include "http/endpoint.h"
@@ -28,11 +29,6 @@
 constexpr Millis kMaximumIdle{10000};
 constexpr std::size_t kMaximumIdlePerAddress = 256;
 
-std::chrono::microseconds toChrono(Millis duration)
-{
-    return std::chrono::microseconds(static_cast<long>(std::max(0.0, duration.value) * 1000));
-}
-
 std::string serializeRequest(const HostAddress &address, const HttpRequest &request)
 {
     std::string text;
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -34,7 +34,7 @@
 
     /** Binds and starts to accept. Returns the bound address, or the system's error text. */
     tl::expected<HostAddress, std::string> open();
-    /** Stops to accept and closes all connections. */
+    /** Stops to accept. Open connections end with their idle timeout or the process. */
     void close();
 
 private:
--- a/src/platform/httpobjectstore.cpp
+++ b/src/platform/httpobjectstore.cpp
@@ -1,5 +1,7 @@
 #include "platform/httpobjectstore.h"
 
+#include "core/chronotime.h"
+
 #include "platform/objectprotocol.h"
 
 #include <algorithm>
@@ -29,11 +31,6 @@
     Write,
 };
 
-std::chrono::microseconds toChrono(Millis duration)
-{
-    return std::chrono::microseconds(static_cast<long>(std::max(0.0, duration.value) * 1000));
-}
-
 /** Error of a call without a usable answer. */
 StoreError errorWithoutAnswer(CallKind kind)
 {
--- a/src/platform/memoryobjectstore.cpp
+++ b/src/platform/memoryobjectstore.cpp
@@ -1,5 +1,7 @@
 #include "platform/memoryobjectstore.h"
 
+#include "core/chronotime.h"
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -10,11 +12,6 @@
 namespace
 {
 
-std::chrono::microseconds toChrono(Millis duration)
-{
-    return std::chrono::microseconds(static_cast<long>(std::max(0.0, duration.value) * 1000));
-}
-
 } // namespace
 
 MemoryObjectStore::MemoryObjectStore(const Clock &clock, Millis callTimeout)
--- a/src/retry/autotests/attemptallowancetest.cpp
+++ b/src/retry/autotests/attemptallowancetest.cpp
@@ -36,11 +36,11 @@
 {
     // Guards against retries that multiply from level to level, and attempts restored after a lost answer.
     CHECK(rc::check("call tree", [] {
-        AttemptAllowance root(kAttemptsPerTap);
+        AttemptAllowance root(kAttemptsPerUserAction);
         int attempts = 0;
         runCall(root, *rc::gen::inRange(0, 10), attempts);
         RC_ASSERT(attempts <= root.spent());
-        RC_ASSERT(root.spent() <= kAttemptsPerTap);
+        RC_ASSERT(root.spent() <= kAttemptsPerUserAction);
     }));
 }
 
@@ -77,7 +77,7 @@
     // Guards against a share that is so small that the deepest call of an allowed chain gets no attempt.
     constexpr int kDepth = 9;
     constexpr int kUnknownPeak = 1000;
-    constexpr int kRootAttempts = kAttemptsPerTap - 8;
+    constexpr int kRootAttempts = kAttemptsPerUserAction - 8;
     int granted = kRootAttempts;
     for (int depth = 1; depth <= kDepth; ++depth) {
         CAPTURE(depth);
--- a/tools/backend_standin/backendrun.cpp
+++ b/tools/backend_standin/backendrun.cpp
@@ -1,5 +1,7 @@
 #include "backend_standin/backendrun.h"
 
+#include "core/chronotime.h"
+
 #include "backend_standin/answertree.h"
 
 #include <algorithm>
@@ -15,11 +17,6 @@
 namespace
 {
 
-std::chrono::microseconds toChrono(Millis duration)
-{
-    return std::chrono::microseconds(static_cast<long>(std::max(0.0, duration.value) * 1000));
-}
-
 std::string headerOr(const HttpRequest &request, std::string_view name, const std::string &otherwise)
 {
     const auto value = request.headers.find(name);
--- a/tools/caller/loadgenerator.cpp
+++ b/tools/caller/loadgenerator.cpp
@@ -1,5 +1,7 @@
 #include "caller/loadgenerator.h"
 
+#include "core/chronotime.h"
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -18,11 +20,6 @@
 /** Executions of a long run exceed the usual limit on answers. */
 constexpr std::size_t kMaximumExecutionBytes = 1U << 30U;
 
-std::chrono::microseconds toChrono(Millis duration)
-{
-    return std::chrono::microseconds(static_cast<long>(std::max(0.0, duration.value) * 1000));
-}
-
 std::string modeName(CallerMode mode)
 {
     switch (mode) {
