--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -55,7 +55,7 @@
     void onCrash(const std::vector<Signature> &inFlight);
     void publishCrashes();
     void expireTables();
-    std::string statusPage() const;
+    std::string statusPage();
     std::size_t inFlight() const;
     void drain();
 
