--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -256,11 +256,9 @@
     control->setLocalState(draining || !health.healthy(), headroom);
 }
 
-std::string Daemon::Private::statusPage() const
+std::string Daemon::Private::statusPage()
 {
-    auto &mutableSelf = const_cast<Private &>(*this);
-    return formatStatusPage(
-        {self, mutableSelf.tables, mutableSelf.routing, control->status(), draining, health.healthy(), inFlight()});
+    return formatStatusPage({self, tables, routing, control->status(), draining, health.healthy(), inFlight()});
 }
 
 std::size_t Daemon::Private::inFlight() const
