--- a/src/ctl/applycommand.cpp
+++ b/src/ctl/applycommand.cpp
@@ -145,7 +145,7 @@
     if (missing.empty()) {
         return std::nullopt;
     }
-    CommandResult result = failure(ExitCode::Pending,
+    CommandResult result = failure(ExitCode::Conflict,
                                    "the change moves, adds or removes servers, and " + versionText(current.version)
                                        + " is not confirmed by " + joinNames(missing)
                                        + " yet; nothing was written. Apply it again once that version is accepted");
--- a/src/ctl/autotests/applycommandtest.cpp
+++ b/src/ctl/autotests/applycommandtest.cpp
@@ -232,7 +232,7 @@
     moved.files.inventory.servers.push_back(moved.files.inventory.servers.front());
     moved.files.inventory.servers.back().name = ServerName("new-server");
     const CommandResult refused = apply(bench, moved);
-    CHECK(refused.code == ExitCode::Pending);
+    CHECK(refused.code == ExitCode::Conflict);
     CHECK(refused.details["result"] == "roster-change-refused");
     CHECK(stored(bench).version == ConfigVersion(1));
     bench.confirm("b", 1);
--- a/src/daemon/servergateway.cpp
+++ b/src/daemon/servergateway.cpp
@@ -1,5 +1,6 @@
 #include "daemon/servergateway.h"
 
+#include "core/logevent.h"
 #include "daemon/headernames.h"
 
 #include <array>
@@ -114,6 +115,19 @@
 void ServerGateway::tick()
 {
     handleDispatch(tables_.admission.with([](AdmissionController &admission) { return admission.tick(); }));
+    noteLevel(tables_.admission.with([](const AdmissionController &admission) { return admission.level(); }));
+}
+
+void ServerGateway::noteLevel(Level level)
+{
+    // Only the begin and the end are logged, since the level itself moves in each window.
+    const bool shedding = level.value > 0;
+    if (shedding_.exchange(shedding) != shedding) {
+        logEvent(LogEvent::AdmissionLevelChanged,
+                 self_.server.value()
+                     + (shedding ? " sheds requests below level " + std::to_string(level.value)
+                                 : " admits all requests again"));
+    }
 }
 
 void ServerGateway::setServerHealthy(bool healthy)
--- a/src/daemon/servergateway.h
+++ b/src/daemon/servergateway.h
@@ -8,6 +8,7 @@
 #include "daemon/sharedtables.h"
 #include "http/httpclient.h"
 
+#include <atomic>
 #include <memory>
 #include <mutex>
 #include <unordered_map>
@@ -55,6 +56,7 @@
     void settle(const CallMessage &message, const CallAnswer &answer);
     void finish(const PendingPtr &pending, CallAnswer answer);
     PendingPtr takePending(AttemptId attempt);
+    void noteLevel(Level level);
 
     const DaemonIdentity &self_;
     SharedTables &tables_;
@@ -64,6 +66,7 @@
     const Clock &clock_;
     mutable std::mutex mutex_;
     std::unordered_map<AttemptId, PendingPtr> pending_;
+    std::atomic<bool> shedding_{false}; ///< The admission level is above 0.
 };
 
 } // namespace Hibiscus
