--- a/src/ctl/autotests/daemoncommandstest.cpp
+++ b/src/ctl/autotests/daemoncommandstest.cpp
@@ -44,7 +44,7 @@
 std::string status(bool draining, int inFlight, const std::string &server = "desk-1")
 {
     return R"({"server": ")" + server + R"(", "domain": "a", "draining": )" + (draining ? "true" : "false")
-        + R"(, "in_flight": )" + std::to_string(inFlight) + R"(, "control": {"configuration": 3}, "quarantined": []})";
+        + R"(, "inFlight": )" + std::to_string(inFlight) + R"(, "configVersion": 3, "quarantined": []})";
 }
 
 const HostAddress kDaemon("127.0.0.1:8100");
@@ -70,7 +70,7 @@
              Case{{idle, ""}, false, ExitCode::Unavailable, 0},
              Case{{""}, false, ExitCode::Unavailable, 0},
              Case{{"{}"}, false, ExitCode::Invalid, 0},
-             Case{{R"({"server": "desk-1", "draining": true, "in_flight": "0"})"}, false, ExitCode::Invalid, 0},
+             Case{{R"({"server": "desk-1", "draining": true, "inFlight": "0"})"}, false, ExitCode::Invalid, 0},
              Case{{status(false, 0, "desk-2")}, false, ExitCode::Usage, 0},
          }) {
         Bench bench;
--- a/src/ctl/daemonstatus.cpp
+++ b/src/ctl/daemonstatus.cpp
@@ -11,7 +11,7 @@
 bool isUsable(const json &value)
 {
     return value.is_object() && value.contains("server") && value["server"].is_string() && value.contains("draining")
-        && value["draining"].is_boolean() && value.contains("in_flight") && value["in_flight"].is_number_integer();
+        && value["draining"].is_boolean() && value.contains("inFlight") && value["inFlight"].is_number_integer();
 }
 
 } // namespace
@@ -29,13 +29,12 @@
     DaemonStatus status;
     status.server = ServerName(value["server"].get<std::string>());
     status.draining = value["draining"].get<bool>();
-    status.inFlight = value["in_flight"].get<std::int64_t>();
+    status.inFlight = value["inFlight"].get<std::int64_t>();
     if (value.contains("domain") && value["domain"].is_string()) {
         status.domain = FailureDomainName(value["domain"].get<std::string>());
     }
-    const json control = value.value("control", json::object());
-    if (control.is_object() && control.contains("configuration") && control["configuration"].is_number_unsigned()) {
-        status.configVersion = ConfigVersion(control["configuration"].get<std::uint64_t>());
+    if (value.contains("configVersion") && value["configVersion"].is_number_unsigned()) {
+        status.configVersion = ConfigVersion(value["configVersion"].get<std::uint64_t>());
     }
     status.whole = std::move(value);
     return status;
