HttpServer: accept the waiting connections together

On a slow or busy machine a step takes 5 to 30 ms, so new connections (clients, and calls of the server beside the daemon) wait in the backlog until their callers have given up. The request and the end of its connection are then read one step apart, and the request is passed on in between.

In the log, calls are taken up after the server that made them had answered 500, and cancelled 4 to 30 ms later, one step of the loop.

--- a/src/http/autotests/httpclienttest.cpp
+++ b/src/http/autotests/httpclienttest.cpp
@@ -5,8 +5,10 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
@@ -83,6 +85,17 @@
     }
 };
 
+/** Counts requests, and answers none. */
+class CountingHandler : public HttpHandler
+{
+public:
+    void handle(HttpRequest /*request*/, HttpResponder /*respond*/) override
+    {
+        ++handled;
+    }
+    int handled = 0;
+};
+
 } // namespace
 
 TEST_CASE("HttpClient: faults of a connection")
@@ -127,6 +140,36 @@
     }
 }
 
+TEST_CASE("HttpServer: connections are accepted together while other work is due")
+{
+    // Guards against callers whose connections wait, one step of the event loop each, until they have given up.
+    constexpr int kConnections = 60;
+    constexpr int kSteps = 20;
+    asio::io_context context;
+    CountingHandler handler;
+    HttpServer server(context, {HostAddress("127.0.0.1:0")}, handler);
+    const auto address = server.open();
+    REQUIRE(address.has_value());
+    asio::io_context clientContext;
+    std::vector<asio::ip::tcp::socket> clients;
+    for (int i = 0; i < kConnections; ++i) {
+        clients.emplace_back(clientContext).connect(*parseEndpoint(*address));
+        asio::write(clients.back(), asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+    }
+    // A handler that is always due stands for the other work; each of its runs is one step of the loop.
+    int steps = 0;
+    std::function<void()> work = [&] {
+        if (++steps < kSteps) {
+            asio::post(context, work);
+            return;
+        }
+        context.stop();
+    };
+    asio::post(context, work);
+    context.run();
+    CHECK(handler.handled == kConnections);
+}
+
 TEST_CASE("HttpServer: each answer belongs to its request")
 {
     // Guards against answers that are exchanged between concurrent requests or reused connections.
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -21,6 +21,9 @@
 constexpr Millis kSweepInterval{500};
 constexpr Millis kAcceptRetry{50};
 constexpr int kBacklog = 1024;
+/** Connections that one step of the event loop accepts. With one a step, a busy process lets new connections wait until
+ * their callers have given up. */
+constexpr int kAcceptBatch = 64;
 
 } // namespace
 
@@ -42,6 +45,7 @@
     }
 
     void accept();
+    void acceptWaiting();
     void adopt(ServerConnection::Socket socket);
     void sweep();
     std::vector<std::shared_ptr<ServerConnection>> openConnections();
@@ -78,10 +82,25 @@
                                   return;
                               }
                               self->adopt(std::move(socket));
+                              self->acceptWaiting();
                               self->accept();
                           });
 }
 
+/** Takes the connections that are waiting besides the one that was announced. */
+void HttpServer::Private::acceptWaiting()
+{
+    for (int i = 1; i < kAcceptBatch; ++i) {
+        asio::error_code error;
+        ServerConnection::Socket socket = acceptor.accept(asio::make_strand(context), error);
+        if (error) {
+            // Nothing waits, or the next asynchronous accept meets the same error and handles it.
+            return;
+        }
+        adopt(std::move(socket));
+    }
+}
+
 void HttpServer::Private::adopt(ServerConnection::Socket socket)
 {
     std::shared_ptr<ServerConnection> connection;
@@ -159,6 +178,9 @@
     if (!error) {
         d_->acceptor.listen(kBacklog, error);
     }
+    if (!error) {
+        d_->acceptor.non_blocking(true, error);
+    }
     if (error) {
         return tl::unexpected(d_->settings.address.value() + ": " + error.message());
     }
