CrashLedger: one crash restricts no signature

A signature is now a suspect from its second crash, which leaves the few that were in flight both times; the third crash quarantines as before, so a poison request runs on no more servers than it did.

Ruled out: letting suspects wait for the slot; with hundreds of innocents their turn comes after their deadlines.

--- a/src/quarantine/crashledger.cpp
+++ b/src/quarantine/crashledger.cpp
@@ -40,7 +40,7 @@
     if (crashes >= kCrashesToQuarantine && clock_.now() - latest < kQuarantine) {
         return Verdict::Quarantined;
     }
-    return crashes > 0 ? Verdict::Suspect : Verdict::Clear;
+    return crashes >= kCrashesToSuspect ? Verdict::Suspect : Verdict::Clear;
 }
 
 void CrashLedger::crashed(const std::vector<Signature> &inFlight, CrashReportId report)
--- a/src/quarantine/crashledger.h
+++ b/src/quarantine/crashledger.h
@@ -45,6 +45,9 @@
 class CrashLedger
 {
 public:
+    /** Crashes without a completion from which a signature runs one at a time. A first crash charges all that was in
+     * flight, nearly all of it innocent; a second one leaves what was in flight both times. */
+    static constexpr std::size_t kCrashesToSuspect = 2;
     /** Crashes without a completion that quarantine a signature. */
     static constexpr std::size_t kCrashesToQuarantine = 3;
     /** Measured from the latest crash. Afterwards the signature is a suspect, and one more crash quarantines it. */
