Refuse the calls of a server for a request that was given up

Cause: when a request is cancelled or runs out of time, its connection to the server is closed, and the server notices only some time later. The table of running attempts now remembers for 5 s which requests were given up here, and calls below them are refused as not run. An attempt that is cancelled is also logged as cancelled, no longer as a crash of its server.

Ruled out: treating each call without a running parent so; a restarted daemon does not know the parents of good calls.

Tests: MeshDaemon "calls of a server for a request that was cancelled are refused" answered 200 instead of 504 before; CallScopeTable "calls below an abandoned attempt are told from those of an unknown one".

Crashes are passed on

Cause (found by reading): a crash was told to 24 daemons, which did not pass it on while the store answers, and a message held the oldest 256 changed signatures, so that after one crash with 300 requests in flight no later crash was told to anybody. A daemon that hears of a crash now passes it on once to six others, and a message holds the latest 1024 changes.

Tests: DeploymentSync "a crash becomes known beyond the daemons that are told at once" does not end without the passing on; CrashLedger "the latest crash is exported first, and known ones are no news".

--- a/src/daemon/autotests/callscopetabletest.cpp
+++ b/src/daemon/autotests/callscopetabletest.cpp
@@ -66,6 +66,43 @@
     }
 }
 
+TEST_CASE("CallScopeTable: calls below an abandoned attempt are told from those of an unknown one")
+{
+    // Guards against calls that a server makes for a request after it was cancelled, and which run though nobody waits.
+    ManualClock clock;
+    CallScopeTable table(clock);
+    const auto open = [&](AttemptId attempt, const std::string &name) {
+        table.open(attempt, {RootContext{}, "", TimePoint{9000}, AttemptAllowance(8)}, name);
+    };
+    open(AttemptId(1), "given-up");
+    open(AttemptId(2), "answered");
+    table.close(AttemptId(1), ScopeEnd::Abandoned);
+    table.close(AttemptId(2));
+    CHECK(table.isAbandoned("given-up"));
+    CHECK_FALSE(table.isAbandoned("answered"));
+    CHECK_FALSE(table.isAbandoned("unknown"));
+
+    SUBCASE("until the request runs here again")
+    {
+        open(AttemptId(3), "given-up");
+        CHECK_FALSE(table.isAbandoned("given-up"));
+    }
+    SUBCASE("for some time")
+    {
+        clock.advance(CallScopeTable::kAbandonedLifetime);
+        CHECK_FALSE(table.isAbandoned("given-up"));
+    }
+    SUBCASE("within bounded memory")
+    {
+        for (std::size_t i = 0; i < CallScopeTable::kMaximumAbandoned; ++i) {
+            open(AttemptId(100 + i), std::to_string(i));
+            table.close(AttemptId(100 + i), ScopeEnd::Abandoned);
+        }
+        CHECK_FALSE(table.isAbandoned("given-up"));
+        CHECK(table.isAbandoned("0"));
+    }
+}
+
 TEST_CASE("CallScopeTable: the calls below an attempt stay within its allowance")
 {
     // Guards against an allowance that grows with depth or fan-out.
--- a/src/daemon/callscopetable.cpp
+++ b/src/daemon/callscopetable.cpp
@@ -15,6 +15,7 @@
     entries_.emplace(attempt, Entry{std::move(scope), {}, 0, {}, {}, requestId});
     if (!requestId.empty()) {
         byRequest_.insert_or_assign(requestId, attempt);
+        abandoned_.erase(requestId);
     }
 }
 
@@ -61,7 +62,27 @@
     }
 }
 
-ScopeSummary CallScopeTable::close(AttemptId attempt)
+bool CallScopeTable::isAbandoned(const std::string &requestId) const
+{
+    const auto found = abandoned_.find(requestId);
+    return found != abandoned_.end() && clock_.now() - found->second < kAbandonedLifetime;
+}
+
+void CallScopeTable::noteAbandoned(const std::string &requestId)
+{
+    const TimePoint now = clock_.now();
+    abandoned_.insert_or_assign(requestId, now);
+    abandonedOrder_.emplace_back(now, requestId);
+    while (abandonedOrder_.size() > kMaximumAbandoned || now - abandonedOrder_.front().first >= kAbandonedLifetime) {
+        const auto &[at, oldest] = abandonedOrder_.front();
+        if (const auto found = abandoned_.find(oldest); found != abandoned_.end() && found->second <= at) {
+            abandoned_.erase(found);
+        }
+        abandonedOrder_.pop_front();
+    }
+}
+
+ScopeSummary CallScopeTable::close(AttemptId attempt, ScopeEnd end)
 {
     const auto found = entries_.find(attempt);
     if (found == entries_.end()) {
@@ -77,6 +98,9 @@
     }
     if (const auto named = byRequest_.find(entry.requestId); named != byRequest_.end() && named->second == attempt) {
         byRequest_.erase(named);
+        if (end == ScopeEnd::Abandoned) {
+            noteAbandoned(entry.requestId);
+        }
     }
     entries_.erase(found);
     return summary;
--- a/src/daemon/callscopetable.h
+++ b/src/daemon/callscopetable.h
@@ -5,10 +5,12 @@
 #include "daemon/callrequest.h"
 #include "retry/attemptallowance.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 namespace Hibiscus
 {
@@ -44,6 +46,12 @@
     bool nonRepeatableMayHaveRun = false;
 };
 
+/** How an attempt ended at this daemon. */
+enum class ScopeEnd {
+    Answered, ///< By the backend server, or with its process; it may make further calls of its own.
+    Abandoned, ///< By this daemon, which closed the connection; the server may not have noticed yet.
+};
+
 /** The attempts that run on the local backend server, by the id in their Hibiscus-Context header. */
 class CallScopeTable
 {
@@ -51,12 +59,21 @@
     /** @p clock must outlive the table. */
     explicit CallScopeTable(const Clock &clock);
 
+    /** Above the time that a backend server takes to notice the end of a connection. */
+    static constexpr Millis kAbandonedLifetime{5000};
+    /** Bound of the memory of abandoned requests; beyond it the oldest are forgotten. */
+    static constexpr std::size_t kMaximumAbandoned = 4096;
+
     /** @p requestId names the request to the backend server, which may refer to it in the calls that it makes. */
     void open(AttemptId attempt, CallScope scope, const std::string &requestId = {});
 
     /** Running attempt of the request that was opened under that name. */
     std::optional<AttemptId> find(const std::string &requestId) const;
 
+    /** Whether the latest attempt of that request was given up here, so that nobody waits for the calls below it. Known
+     * for kAbandonedLifetime. */
+    bool isAbandoned(const std::string &requestId) const;
+
     /**
      * Starts a call below @p attempt. A derived key that is used again after a complete response names a new call, and
      * otherwise a resend of the same one. So the same sequence of calls gets the same names when the attempt is
@@ -68,11 +85,13 @@
     void endChild(AttemptId attempt, const ChildCall &child, const CallAnswer &answer, bool repeatable);
 
     /** Forgets the attempt; calls that are still outstanding find it gone. */
-    ScopeSummary close(AttemptId attempt);
+    ScopeSummary close(AttemptId attempt, ScopeEnd end = ScopeEnd::Answered);
 
     std::size_t size() const;
 
 private:
+    void noteAbandoned(const std::string &requestId);
+
     struct Entry {
         CallScope scope;
         std::map<std::string, int> completed; ///< Complete responses by key.
@@ -85,6 +104,8 @@
     const Clock &clock_;
     std::unordered_map<AttemptId, Entry> entries_;
     std::unordered_map<std::string, AttemptId> byRequest_;
+    std::unordered_map<std::string, TimePoint> abandoned_; ///< Time of the end by request id.
+    std::deque<std::pair<TimePoint, std::string>> abandonedOrder_; ///< Oldest first; may name requests that run again.
 };
 
 } // namespace Hibiscus
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -118,11 +118,9 @@
           {[this](const std::string &text, std::uint64_t version) { return installConfiguration(text, version); },
            [this] { updateRoutes(); }, [this](const ServerRegistration &entry) { noteOwnEntry(entry); },
            [this] { return ownRegistration(); },
-           [this] {
-               return tables.crashes.with([](const CrashLedger &crashes) { return crashes.exportReports(0); }).reports;
-           },
+           [this] { return tables.crashes.with([](const CrashLedger &crashes) { return crashes.exportLatest(); }); },
            [this](const std::vector<CrashReport> &reports) {
-               tables.crashes.with([&](CrashLedger &crashes) { crashes.merge(reports); });
+               return tables.crashes.with([&](CrashLedger &crashes) { return crashes.learn(reports); });
            }})
     , startedAt(
           std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
--- a/src/daemon/servergateway.cpp
+++ b/src/daemon/servergateway.cpp
@@ -275,7 +275,11 @@
         running_.erase(attempt);
         pending->connection.reset();
     }
-    const ScopeSummary summary = tables_.scopes.with([&](CallScopeTable &scopes) { return scopes.close(attempt); });
+    const bool isGivenUp =
+        call.repeatable && (pending->cancelled || (!result && result.error() == TransportError::TimedOut));
+    const ScopeEnd end = isGivenUp ? ScopeEnd::Abandoned : ScopeEnd::Answered;
+    const ScopeSummary summary =
+        tables_.scopes.with([&](CallScopeTable &scopes) { return scopes.close(attempt, end); });
     ServiceSample sample;
     sample.total = clock_.now() - pending->started;
     sample.waitingForChildren = summary.waitingForChildren;
@@ -315,7 +319,8 @@
     answer.spent = summary.spent;
     answer.subtreeLevel = summary.subtreeLevel;
     if (!result) {
-        answer.response = tl::unexpected(failureOf(result.error(), pending->message.call));
+        answer.response = tl::unexpected(pending->cancelled ? ErrorKind::Cancelled
+                                                            : failureOf(result.error(), pending->message.call));
         return answer;
     }
     answer.response = protocol_.decode(pending->message, std::move(*result));
--- /dev/null
+++ b/src/discovery/autotests/deploymentsynctest.cpp
@@ -0,0 +1,139 @@
+#include "discovery/deploymentsync.h"
+
+#include "core/randomsource.h"
+#include "core/steadyclock.h"
+#include "http/httpserver.h"
+#include "platform/autotests/sharedobjectstore.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <doctest/doctest.h>
+
+using namespace Hibiscus;
+
+namespace
+{
+
+constexpr const char *kConfigurationKey = "config/main";
+constexpr Millis kReportAge{0};
+
+/** One daemon's view of a deployment, reachable by others. */
+class Node : public HttpHandler
+{
+public:
+    Node(asio::io_context &context, HttpClient &client, int number, const std::shared_ptr<MemoryObjectStore> &store)
+        : random_(static_cast<std::uint64_t>(number))
+        , store_(store)
+        , server_(context, {HostAddress("127.0.0.1:0")}, *this)
+        , address_(*server_.open())
+        , own_{ServerName("s" + std::to_string(number)),
+               ServiceName("desk"),
+               FailureDomainName("a"),
+               address_,
+               Incarnation(1),
+               1000,
+               1000,
+               4,
+               ServerState::Ready}
+        , sync(context.get_executor(), store_, client, clock_, random_, {address_, kConfigurationKey, {}},
+               {[](const std::string &, std::uint64_t) { return true; }, [] {}, [](const ServerRegistration &) {},
+                [this] { return std::optional(own_); }, [this] { return crashes; },
+                [this](const std::vector<CrashReport> &reports) { return learn(reports); }})
+    {
+    }
+
+    void handle(HttpRequest request, HttpResponder respond) override
+    {
+        respond({200, {}, sync.answer(request.body)});
+    }
+
+    bool learn(const std::vector<CrashReport> &reports)
+    {
+        const bool isNews = crashes.empty() && !reports.empty();
+        if (isNews) {
+            crashes = reports;
+        }
+        return isNews;
+    }
+
+    std::vector<CrashReport> crashes;
+
+private:
+    SteadyClock clock_;
+    SeededRandom random_;
+    SharedObjectStore store_;
+    HttpServer server_;
+    HostAddress address_;
+    ServerRegistration own_;
+
+public:
+    DeploymentSync sync;
+};
+
+/** Daemons that share a store and one event loop. */
+class Deployment
+{
+public:
+    explicit Deployment(int count)
+    {
+        store->create(kConfigurationKey, "1");
+        for (int i = 0; i < count; ++i) {
+            nodes.push_back(std::make_unique<Node>(context, client_, i, store));
+            nodes.back()->sync.start();
+            nodes.back()->sync.publish();
+        }
+    }
+    ~Deployment()
+    {
+        for (const auto &node : nodes) {
+            node->sync.stop();
+        }
+    }
+
+    /** Runs until @p isReached; the test's own timeout bounds it. */
+    void runUntil(const std::function<bool()> &isReached)
+    {
+        while (!isReached()) {
+            context.run_one();
+        }
+    }
+
+    std::size_t informed() const
+    {
+        std::size_t count = 0;
+        for (const auto &node : nodes) {
+            count += node->crashes.empty() ? 0U : 1U;
+        }
+        return count;
+    }
+
+    asio::io_context context;
+    std::shared_ptr<MemoryObjectStore> store = std::make_shared<MemoryObjectStore>();
+    std::vector<std::unique_ptr<Node>> nodes;
+
+private:
+    asio::executor_work_guard<asio::io_context::executor_type> work_ = asio::make_work_guard(context);
+    HttpClient client_{context};
+};
+
+} // namespace
+
+TEST_CASE("DeploymentSync: a crash becomes known beyond the daemons that are told at once")
+{
+    // Guards against a request that crashes servers beside daemons which never hear of the crashes before.
+    constexpr int kNodes = 60;
+    constexpr std::size_t kTold = 50; ///< Nearly all; each daemon passes news on to a few that are drawn at random.
+    Deployment deployment(kNodes);
+    deployment.runUntil([&] {
+        return std::all_of(deployment.nodes.begin(), deployment.nodes.end(),
+                           [](const auto &node) { return node->sync.directory().entries().size() == kNodes; });
+    });
+    deployment.nodes.front()->crashes = {{{Incarnation(7), 1}, kReportAge, {Signature(3)}, {}}};
+    deployment.nodes.front()->sync.announce();
+    deployment.runUntil([&] { return deployment.informed() >= kTold; });
+    CHECK(deployment.informed() >= kTold);
+}
--- a/src/discovery/deploymentsync.cpp
+++ b/src/discovery/deploymentsync.cpp
@@ -3,6 +3,8 @@
 #include "core/chronotime.h"
 #include "core/logevent.h"
 
+#include <utility>
+
 namespace Hibiscus
 {
 
@@ -82,6 +84,9 @@
         if (error || stopped_) {
             return;
         }
+        if (std::exchange(hasCrashNews_, false)) {
+            exchange_.passOn();
+        }
         if (!isStoreAvailable() || !hasDirectory_ || configuration_.empty()) {
             exchange_.tick();
         }
@@ -286,7 +291,7 @@
     if (changed) {
         callbacks_.directoryChanged();
     }
-    callbacks_.mergeCrashes(message.crashes);
+    hasCrashNews_ = callbacks_.learnCrashes(message.crashes) || hasCrashNews_;
 }
 
 } // namespace Hibiscus
--- a/src/discovery/deploymentsync.h
+++ b/src/discovery/deploymentsync.h
@@ -36,7 +36,8 @@
         /** Registration of the server beside this daemon; empty if there is none. */
         std::function<std::optional<ServerRegistration>()> ownRegistration;
         std::function<std::vector<CrashReport>()> crashReports;
-        std::function<void(const std::vector<CrashReport> &)> mergeCrashes;
+        /** True if a crash was among them that this process had not heard of. */
+        std::function<bool(const std::vector<CrashReport> &)> learnCrashes;
     };
 
     /** @p store, @p client, @p clock and @p random must outlive the object. */
@@ -87,6 +88,7 @@
     std::set<ServerName> ownEntries_; ///< Entries of the store whose daemon has this one's address.
     std::string configuration_; ///< In force, as the store holds it.
     std::uint64_t configurationVersion_ = 0;
+    bool hasCrashNews_ = false; ///< A crash was heard of that is to be passed on.
     bool configurationCurrent_ = true; ///< The store answers the watch.
     bool directoryCurrent_ = true;
     bool hasDirectory_ = false;
--- a/src/discovery/directoryexchange.cpp
+++ b/src/discovery/directoryexchange.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t kDaemonsPerTick = 2;
 /** Daemons that are told at once of something urgent; they pass it on. */
 constexpr std::size_t kAnnouncedDaemons = 24;
+/** Daemons to which each one passes news on; one in e^6 = 400 then hears of it from nobody. */
+constexpr std::size_t kPassOnDaemons = 6;
 constexpr std::size_t kMaximumContacts = 16;
 constexpr Millis kContactInterval{200};
 constexpr Millis kConnectTimeout{200};
@@ -65,14 +67,22 @@
 
 void DirectoryExchange::tick()
 {
-    for (const HostAddress &daemon : draw(kDaemonsPerTick)) {
-        exchangeWith(daemon);
-    }
+    exchangeWithSome(kDaemonsPerTick);
 }
 
 void DirectoryExchange::announce()
 {
-    for (const HostAddress &daemon : draw(kAnnouncedDaemons)) {
+    exchangeWithSome(kAnnouncedDaemons);
+}
+
+void DirectoryExchange::passOn()
+{
+    exchangeWithSome(kPassOnDaemons);
+}
+
+void DirectoryExchange::exchangeWithSome(std::size_t count)
+{
+    for (const HostAddress &daemon : draw(count)) {
         exchangeWith(daemon);
     }
 }
--- a/src/discovery/directoryexchange.h
+++ b/src/discovery/directoryexchange.h
@@ -49,7 +49,11 @@
     /** Tells many daemons at once. */
     void announce();
 
+    /** Tells some daemons what others have told this one. News that each daemon passes on once reach nearly all. */
+    void passOn();
+
 private:
+    void exchangeWithSome(std::size_t count);
     void exchangeWith(const HostAddress &daemon);
     std::vector<HostAddress> draw(std::size_t count);
 
--- a/src/mesh/autotests/meshdaemontest.cpp
+++ b/src/mesh/autotests/meshdaemontest.cpp
@@ -4,7 +4,7 @@
 #include "daemon/headernames.h"
 #include "http/httpclient.h"
 #include "http/httpserver.h"
-#include "platform/memoryobjectstore.h"
+#include "platform/autotests/sharedobjectstore.h"
 
 #include <atomic>
 #include <chrono>
@@ -20,68 +20,15 @@
 
 constexpr const char *kRequestField = "X-Request";
 
-/** One store for all daemons of a test. */
-class SharedStore : public ObjectStore
-{
-public:
-    explicit SharedStore(std::shared_ptr<MemoryObjectStore> store)
-        : store_(std::move(store))
-    {
-    }
-    StoreResult<StoredObject> get(const std::string &key) override
-    {
-        return check([&] { return store_->get(key); });
-    }
-    StoreResult<std::uint64_t> create(const std::string &key, const std::string &value) override
-    {
-        return check([&] { return store_->create(key, value); });
-    }
-    StoreResult<std::uint64_t> update(const std::string &key, const std::string &value, std::uint64_t version) override
-    {
-        return check([&] { return store_->update(key, value, version); });
-    }
-    StoreResult<std::vector<ListedObject>> list(const std::string &prefix) override
-    {
-        return check([&] { return store_->list(prefix); });
-    }
-    StoreResult<ObjectListing> listKind(const std::string &kind, ReadMode mode) override
-    {
-        return check([&] { return store_->listKind(kind, mode); });
-    }
-    StoreResult<ChangeBatch> watchKind(const std::string &kind, std::uint64_t revision, Millis, ReadMode mode) override
-    {
-        constexpr Millis kShort{20};
-        return check([&] { return store_->watchKind(kind, revision, kShort, mode); });
-    }
-    StoreResult<void> remove(const std::string &key, std::uint64_t version) override
-    {
-        return check([&] { return store_->remove(key, version); });
-    }
-    void interrupt() override
-    {
-        interrupted_ = true;
-    }
-
-private:
-    template<class Call>
-    auto check(Call call) -> decltype(call())
-    {
-        if (interrupted_) {
-            return tl::unexpected(StoreError::Unavailable);
-        }
-        return call();
-    }
-
-    std::shared_ptr<MemoryObjectStore> store_;
-    std::atomic<bool> interrupted_{false};
-};
-
 class TestCallers : public CallerProtocol
 {
 public:
     Result<CallerTerms> decode(const HttpRequest &request) const override
     {
-        return CallerTerms{std::string(request.headers.find(kRequestField).value_or("")), "", {}};
+        CallerTerms terms{std::string(request.headers.find(kRequestField).value_or("")), "", {}};
+        const std::size_t dot = terms.requestId.rfind('.');
+        terms.parentId = terms.requestId.substr(0, dot == std::string::npos ? 0 : dot);
+        return terms;
     }
     HttpHeaders forwardedHeaders(const HttpRequest &request, const ServiceName &) const override
     {
@@ -144,21 +91,38 @@
         route.timeout = Millis{20000};
         route.latencyTarget = Millis{1000};
         route.attempts = 2;
+        route.idempotent = true;
         configuration.routes = {route};
         return configuration;
     }
 };
 
-/** Backend server that counts its runs and echoes the request's name. */
+constexpr const char *kHeldRequest = "held";
+
+/** Backend server that counts its runs and echoes the request's name, except for kHeldRequest, which gets no answer. */
 class CountingServer : public HttpHandler
 {
 public:
     void handle(HttpRequest request, HttpResponder respond) override
     {
         ++runs;
+        if (request.headers.find(kRequestField) == kHeldRequest) {
+            heldConnection_ = request.connection;
+            holds = true;
+            return;
+        }
         respond({200, {}, std::string(request.headers.find(kRequestField).value_or("none"))});
     }
+    void connectionClosed(std::uint64_t connection) override
+    {
+        heldClosed = heldClosed || (holds && connection == heldConnection_);
+    }
     std::atomic<int> runs{0};
+    std::atomic<bool> holds{false};
+    std::atomic<bool> heldClosed{false};
+
+private:
+    std::atomic<std::uint64_t> heldConnection_{0};
 };
 
 int nextPort()
@@ -194,7 +158,7 @@
         protocols.backend = std::make_unique<ContextBackendProtocol>();
         protocols.checkIns = std::make_unique<TestCheckIns>();
         protocols.configuration = std::make_unique<TestConfiguration>();
-        protocols.store = std::make_unique<SharedStore>(store);
+        protocols.store = std::make_unique<SharedObjectStore>(store);
         daemon_ = std::make_unique<MeshDaemon>(settings, std::move(protocols));
         REQUIRE(daemon_->start().has_value());
         thread_ = std::thread([this] { daemon_->run(); });
@@ -247,6 +211,15 @@
         return result ? *result : HttpResponse{0, {}, ""};
     }
 
+    /** The call that a server makes for a request, through the daemon beside it. */
+    HttpResponse callFrom(const Host &host, const std::string &name)
+    {
+        HttpRequest request{"GET", "/hold", {}, ""};
+        request.host = "h";
+        request.headers.add(kRequestField, name);
+        return send(host.settings.callers, std::move(request));
+    }
+
     HttpResponse call(const std::string &name)
     {
         HttpRequest request{"POST", "/hold", {}, "x"};
@@ -255,6 +228,15 @@
         return send(front->settings.callers, std::move(request));
     }
 
+    /** Sends kHeldRequest; its caller may leave through the result. */
+    std::shared_ptr<HttpCall> sendHeld()
+    {
+        HttpRequest request{"GET", "/hold", {}, ""};
+        request.host = "h";
+        request.headers.add(kRequestField, kHeldRequest);
+        return client_.send(front->settings.callers, std::move(request), {}, [](const HttpResult &) {});
+    }
+
     /** Asks until the answer has @p status; the test's own timeout bounds it. */
     void await(int status)
     {
@@ -308,3 +290,25 @@
     request.host = "other";
     CHECK(mesh.send(mesh.front->settings.callers, request).status == 404);
 }
+
+TEST_CASE("MeshDaemon: calls of a server for a request that was cancelled are refused")
+{
+    // Guards against work that goes on below a request whose caller has left, since its server has not noticed yet.
+    Mesh mesh;
+    mesh.send(mesh.desk->settings.checkIns, {"POST", "/", {}, mesh.desk->report(1, "ready")});
+    mesh.await(200);
+    const std::string child = std::string(kHeldRequest) + ".1";
+    const std::shared_ptr<HttpCall> held = mesh.sendHeld();
+    while (!mesh.desk->handler.holds) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    CHECK(mesh.callFrom(*mesh.desk, child).status == 200);
+    held->cancel();
+    while (!mesh.desk->handler.heldClosed) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    const int runs = mesh.desk->handler.runs;
+    CHECK(mesh.callFrom(*mesh.desk, child).status == 504);
+    CHECK(mesh.desk->handler.runs == runs);
+    CHECK(mesh.callFrom(*mesh.desk, "stranger.1").status == 200);
+}
--- a/src/mesh/meshdaemon.cpp
+++ b/src/mesh/meshdaemon.cpp
@@ -140,11 +140,9 @@
                }
            },
            [this] { return ownRegistration(); },
-           [this] {
-               return tables.crashes.with([](const CrashLedger &crashes) { return crashes.exportReports(0); }).reports;
-           },
+           [this] { return tables.crashes.with([](const CrashLedger &crashes) { return crashes.exportLatest(); }); },
            [this](const std::vector<CrashReport> &reports) {
-               tables.crashes.with([&](CrashLedger &crashes) { crashes.merge(reports); });
+               return tables.crashes.with([&](CrashLedger &crashes) { return crashes.learn(reports); });
            }})
     , peers(
           services,
--- a/src/mesh/routedcallhandler.cpp
+++ b/src/mesh/routedcallhandler.cpp
@@ -93,7 +93,10 @@
     call->latencyTarget = route->latencyTarget;
     call->idempotent = route->idempotent;
     CallRequest wanted = makeRequest(std::move(request), *route, call->terms);
-    linkToParent(*call, wanted);
+    if (!linkToParent(*call, wanted)) {
+        finish(call, failedAnswer(ErrorKind::DeadlineBeforeRun));
+        return;
+    }
     const Millis timeLeft = wanted.deadline - call->started;
     call->attempts = std::make_shared<CallAttempts>(
         services_, std::move(wanted), [this, call](CallAnswer answer) { finish(call, std::move(answer)); });
@@ -124,29 +127,33 @@
     return call;
 }
 
-/** A call for a request that the local backend server runs inherits rank, deadline and allowance from it. */
-void RoutedCallHandler::linkToParent(Call &call, CallRequest &request)
+/** A call for a request that the local backend server runs inherits rank, deadline and allowance from it. False if that
+ * request was given up, so that nobody waits for the call. */
+bool RoutedCallHandler::linkToParent(Call &call, CallRequest &request)
 {
     if (call.terms.parentId.empty()) {
-        return;
+        return true;
     }
+    bool isAbandoned = false;
     const int peak =
         services_.routing.with([&](const RoutingTable &routing) { return routing.learnedPeak(request.service); });
     services_.tables.scopes.with([&](CallScopeTable &scopes) {
         const std::optional<AttemptId> parent = scopes.find(call.terms.parentId);
         if (!parent) {
+            isAbandoned = scopes.isAbandoned(call.terms.parentId);
             return;
         }
         call.parent = *parent;
         call.child = scopes.beginChild(*parent, {"h" + std::to_string(request.signature.value()), false}, peak);
     });
     if (!call.child) {
-        return;
+        return !isAbandoned;
     }
     request.root = call.child->root;
     request.callPath = call.child->callPath;
     request.deadline = std::min(request.deadline, call.child->deadline);
     request.allowance = call.child->granted;
+    return true;
 }
 
 void RoutedCallHandler::armDeadline(const CallPtr &call, Millis delay)
--- a/src/mesh/routedcallhandler.h
+++ b/src/mesh/routedcallhandler.h
@@ -39,7 +39,7 @@
     using CallPtr = std::shared_ptr<Call>;
 
     CallRequest makeRequest(HttpRequest request, const Route &route, const CallerTerms &terms) const;
-    void linkToParent(Call &call, CallRequest &request);
+    bool linkToParent(Call &call, CallRequest &request);
     void armDeadline(const CallPtr &call, Millis delay);
     void finish(const CallPtr &call, CallAnswer answer);
     void logEnd(const Call &call, const CallAnswer &answer) const;
--- a/src/quarantine/autotests/crashledgertest.cpp
+++ b/src/quarantine/autotests/crashledgertest.cpp
@@ -282,3 +282,27 @@
     CHECK(ledger.completed(Signature(49)));
     CHECK_FALSE(ledger.completed(Signature(53)));
 }
+
+TEST_CASE("CrashLedger: the latest crash is exported first, and known ones are no news")
+{
+    // Guards against a crash that other daemons never hear of, since an older one fills the message, and against news
+    // that daemons pass on for ever.
+    ManualClock clock;
+    CrashLedger ledger(clock);
+    std::vector<Signature> many;
+    for (std::uint64_t i = 0; i < 300; ++i) {
+        many.emplace_back(100 + i);
+    }
+    ledger.crashed(many, {Incarnation(5), 1});
+    ledger.crashed({Signature(1)}, {Incarnation(5), 2});
+    const std::vector<CrashReport> latest = ledger.exportLatest(256);
+
+    CrashLedger other(clock);
+    CHECK(other.learn(latest));
+    CHECK(other.entryCount() == 256);
+    CHECK(other.completed(Signature(1)));
+    CHECK_FALSE(other.learn(latest));
+    ledger.completed(Signature(399));
+    CHECK_FALSE(other.learn(ledger.exportLatest()));
+    CHECK_FALSE(other.completed(Signature(399)));
+}
--- a/src/quarantine/crashledger.cpp
+++ b/src/quarantine/crashledger.cpp
@@ -74,6 +74,22 @@
     return changed;
 }
 
+bool CrashLedger::learn(const std::vector<CrashReport> &reports)
+{
+    const bool isNews = std::any_of(reports.begin(), reports.end(), [this](const CrashReport &report) {
+        return !report.charged.empty() && !reports_.contains(report.id) && !isForgotten(report.id)
+            && report.age < kReportLifetime;
+    });
+    merge(reports);
+    return isNews;
+}
+
+std::vector<CrashReport> CrashLedger::exportLatest(std::size_t maxEntries) const
+{
+    // Each change has a revision of its own.
+    return exportReports(revision_ > maxEntries ? revision_ - maxEntries : 0, maxEntries).reports;
+}
+
 CrashDifference CrashLedger::exportReports(std::uint64_t revision, std::size_t maxEntries) const
 {
     // A revision ahead of this ledger was given by a predecessor of this process.
--- a/src/quarantine/crashledger.h
+++ b/src/quarantine/crashledger.h
@@ -73,9 +73,15 @@
     /** Takes over reports of another process; true if anything was new. */
     bool merge(const std::vector<CrashReport> &reports);
 
+    /** As merge(); true if a crash was among them that this process had not heard of, so that it is to be passed on. */
+    bool learn(const std::vector<CrashReport> &reports);
+
     /** Changes after @p revision (0: everything live), the oldest first, at most @p maxEntries signatures. */
     CrashDifference exportReports(std::uint64_t revision, std::size_t maxEntries = 256) const;
 
+    /** The latest changes, at most @p maxEntries signatures. */
+    std::vector<CrashReport> exportLatest(std::size_t maxEntries = 1024) const;
+
     /** Forgets expired reports. To be called every few seconds. */
     void tick();
 
