--- /dev/null
+++ b/src/mesh/autotests/testmesh.h
@@ -0,0 +1,289 @@
+#ifndef HIBISCUS_MESH_AUTOTESTS_TESTMESH_H
+#define HIBISCUS_MESH_AUTOTESTS_TESTMESH_H
+
+#include "mesh/meshdaemon.h"
+
+#include "daemon/contextbackendprotocol.h"
+#include "daemon/headernames.h"
+#include "http/httpclient.h"
+#include "http/httpserver.h"
+#include "platform/autotests/sharedobjectstore.h"
+
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <thread>
+
+#include <doctest/doctest.h>
+
+namespace Hibiscus
+{
+
+inline constexpr const char *kRequestField = "X-Request";
+inline constexpr const char *kTimeoutField = "X-Timeout"; ///< In ms.
+
+class TestCallers : public CallerProtocol
+{
+public:
+    Result<CallerTerms> decode(const HttpRequest &request) const override
+    {
+        CallerTerms terms{std::string(request.headers.find(kRequestField).value_or("")), "", {}};
+        if (const auto timeout = request.headers.find(kTimeoutField)) {
+            terms.timeout = Millis{std::stod(std::string(*timeout))};
+        }
+        const std::size_t dot = terms.requestId.rfind('.');
+        terms.parentId = terms.requestId.substr(0, dot == std::string::npos ? 0 : dot);
+        return terms;
+    }
+    HttpHeaders forwardedHeaders(const HttpRequest &request, const ServiceName &) const override
+    {
+        return request.headers;
+    }
+    HttpResponse encode(const CallerTerms &, CallAnswer answer) const override
+    {
+        return answer.response ? *answer.response : HttpResponse{answerFor(answer.response.error()).httpStatus, {}, ""};
+    }
+};
+
+class TestCheckIns : public CheckInProtocol
+{
+public:
+    std::optional<ServerReport> decode(const HttpRequest &request) const override
+    {
+        // "<name> <service> <address> <sequence> <state>" or "leave <name>"
+        std::istringstream text(request.body);
+        std::string name, service, address, state;
+        std::uint64_t sequence = 0;
+        text >> name >> service;
+        if (name == "leave") {
+            return Departure{ServerName(service)};
+        }
+        text >> address >> sequence >> state;
+        if (state.empty()) {
+            return std::nullopt;
+        }
+        return CheckIn{ServerName(name),
+                       ServiceName(service),
+                       HostAddress(address),
+                       FailureDomainName("a"),
+                       1000,
+                       sequence,
+                       4,
+                       state == "ready" ? ServerState::Ready : ServerState::Draining};
+    }
+    HttpResponse acknowledge() const override
+    {
+        return {200, {}, ""};
+    }
+    HttpResponse reject() const override
+    {
+        return {400, {}, ""};
+    }
+};
+
+class TestConfiguration : public ConfigurationDecoder
+{
+public:
+    std::string key() const override
+    {
+        return "config/main";
+    }
+    tl::expected<RouteConfiguration, std::string> decode(const std::string &value) const override
+    {
+        RouteConfiguration configuration;
+        configuration.version = ConfigVersion(std::stoull(value));
+        Route route;
+        route.name = "desk";
+        route.host = "h";
+        route.pathPrefix = "/";
+        route.targets = {{ServiceName("desk"), 1}};
+        route.timeout = Millis{20000};
+        route.latencyTarget = Millis{1000};
+        route.attempts = 2;
+        route.idempotent = true;
+        configuration.routes = {route};
+        return configuration;
+    }
+};
+
+inline constexpr const char *kHeldRequest = "held";
+
+/** Backend server that counts its runs and echoes the request's name, except for kHeldRequest, which gets no answer. */
+class CountingServer : public HttpHandler
+{
+public:
+    void handle(HttpRequest request, HttpResponder respond) override
+    {
+        ++runs;
+        if (request.headers.find(kRequestField) == kHeldRequest) {
+            heldConnection_ = request.connection;
+            holds = true;
+            return;
+        }
+        respond({200, {}, std::string(request.headers.find(kRequestField).value_or("none"))});
+    }
+    void connectionClosed(std::uint64_t connection) override
+    {
+        heldClosed = heldClosed || (holds && connection == heldConnection_);
+    }
+    std::atomic<int> runs{0};
+    std::atomic<bool> holds{false};
+    std::atomic<bool> heldClosed{false};
+
+private:
+    std::atomic<std::uint64_t> heldConnection_{0};
+};
+
+inline int nextPort()
+{
+    static int port = 26100;
+    return port++;
+}
+
+inline HostAddress nextAddress()
+{
+    return HostAddress("127.0.0.1:" + std::to_string(nextPort()));
+}
+
+/** One host: a backend server and the daemon beside it. */
+class Host
+{
+public:
+    Host(asio::io_context &context, const std::string &name, const std::string &service,
+         const std::shared_ptr<MemoryObjectStore> &store)
+        : name_(name)
+        , server_(context, {nextAddress()}, handler)
+    {
+        settings.host = name;
+        settings.domain = FailureDomainName("a");
+        settings.service = ServiceName(service);
+        settings.callers = nextAddress();
+        settings.ready = nextAddress();
+        settings.checkIns = nextAddress();
+        settings.peers = nextAddress();
+        settings.backend = *server_.open();
+        MeshProtocols protocols;
+        protocols.callers = std::make_unique<TestCallers>();
+        protocols.backend = std::make_unique<ContextBackendProtocol>();
+        protocols.checkIns = std::make_unique<TestCheckIns>();
+        protocols.configuration = std::make_unique<TestConfiguration>();
+        protocols.store = std::make_unique<SharedObjectStore>(store);
+        daemon_ = std::make_unique<MeshDaemon>(settings, std::move(protocols));
+        REQUIRE(daemon_->start().has_value());
+        thread_ = std::thread([this] {
+            daemon_->run();
+            ended = true;
+        });
+    }
+    ~Host()
+    {
+        daemon_->stop();
+        thread_.join();
+    }
+
+    void drain()
+    {
+        daemon_->drain();
+    }
+
+    std::string report(int sequence, const std::string &state) const
+    {
+        return name_ + " " + settings.service.value() + " " + settings.backend.value() + " " + std::to_string(sequence)
+            + " " + state;
+    }
+
+    CountingServer handler;
+    MeshSettings settings;
+    std::atomic<bool> ended{false}; ///< The daemon has left by itself.
+
+private:
+    std::string name_;
+    HttpServer server_;
+    std::unique_ptr<MeshDaemon> daemon_;
+    std::thread thread_;
+};
+
+/** Two hosts, a store and a client. */
+class Mesh
+{
+public:
+    Mesh()
+        : work_(asio::make_work_guard(context_))
+        , worker_([this] { context_.run(); })
+    {
+        REQUIRE(store->create("config/main", "1").has_value());
+    }
+    ~Mesh()
+    {
+        front.reset();
+        desk.reset();
+        context_.stop();
+        worker_.join();
+    }
+
+    HttpResponse send(const HostAddress &address, HttpRequest request)
+    {
+        std::promise<HttpResult> promise;
+        client_.send(address, std::move(request), {}, [&](HttpResult result) { promise.set_value(std::move(result)); });
+        const HttpResult result = promise.get_future().get();
+        return result ? *result : HttpResponse{0, {}, ""};
+    }
+
+    /** The call that a server makes for a request, through the daemon beside it. */
+    HttpResponse callFrom(const Host &host, const std::string &name)
+    {
+        HttpRequest request{"GET", "/hold", {}, ""};
+        request.host = "h";
+        request.headers.add(kRequestField, name);
+        return send(host.settings.callers, std::move(request));
+    }
+
+    HttpResponse call(const std::string &name)
+    {
+        HttpRequest request{"POST", "/hold", {}, "x"};
+        request.host = "h";
+        request.headers.add(kRequestField, name);
+        return send(front->settings.callers, std::move(request));
+    }
+
+    /** Sends kHeldRequest; its caller may leave through the result. */
+    std::shared_ptr<HttpCall> sendHeld(HttpCallback callback = [](const HttpResult &) {})
+    {
+        HttpRequest request{"GET", "/hold", {}, ""};
+        request.host = "h";
+        request.headers.add(kRequestField, kHeldRequest);
+        request.headers.add(kTimeoutField, timeout);
+        return client_.send(front->settings.callers, std::move(request), {}, std::move(callback));
+    }
+
+    /** Sends a server's report to the daemon of @p host; returns the status of the answer. */
+    int report(const Host &host, const std::string &text)
+    {
+        return send(host.settings.checkIns, {"POST", "/", {}, text}).status;
+    }
+
+    /** Asks until the answer has @p status; the test's own timeout bounds it. */
+    void await(int status)
+    {
+        while (call("probe").status != status) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+    }
+
+    std::string timeout = "20000"; ///< Of held requests, in ms.
+    std::shared_ptr<MemoryObjectStore> store = std::make_shared<MemoryObjectStore>();
+
+private:
+    asio::io_context context_;
+    asio::executor_work_guard<asio::io_context::executor_type> work_;
+    std::thread worker_;
+    HttpClient client_{context_};
+
+public:
+    std::unique_ptr<Host> front = std::make_unique<Host>(context_, "front-1", "front", store);
+    std::unique_ptr<Host> desk = std::make_unique<Host>(context_, "desk-1", "desk", store);
+};
+
+} // namespace Hibiscus
+
+#endif
--- a/src/mesh/meshdaemon.cpp
+++ b/src/mesh/meshdaemon.cpp
@@ -14,6 +14,7 @@
 #include <set>
 #include <vector>
 
+#include <asio/post.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
@@ -404,6 +405,11 @@
     return {};
 }
 
+void MeshDaemon::drain()
+{
+    asio::post(d_->context, [this] { d_->drain(); });
+}
+
 void MeshDaemon::stop()
 {
     d_->context.stop();
--- a/src/mesh/meshdaemon.h
+++ b/src/mesh/meshdaemon.h
@@ -31,6 +31,9 @@
     /** Serves until SIGTERM or SIGINT, and then until the requests in progress have ended. */
     void run();
 
+    /** Begins to leave, as at SIGTERM. Callable from any thread. */
+    void drain();
+
     /** Ends run() at once, as a kill would end the process. Callable from any thread. */
     void stop();
 
