--- a/src/apps/hibiscusd/main.cpp
+++ b/src/apps/hibiscusd/main.cpp
@@ -121,6 +121,8 @@
     }
     Hibiscus::startLogging(argv[0], settings.logDirectory);
     std::signal(SIGPIPE, SIG_IGN);
+    // The settings are read at the start only; the default action would end the process.
+    std::signal(SIGHUP, SIG_IGN);
     std::signal(SIGTERM, countStopSignal);
     std::signal(SIGINT, countStopSignal);
 
