Withdraw the entries of former servers also when they are seen late

The entries that its predecessor had left there were only withdrawn at a check-in, and at that time none were known. So 14 servers that no longer existed stayed in the directory; their daemons refused what was sent to them as misdirected, in thousands of lines, and a tenth of all requests was refused or failed from 44 s to the end. An entry with the daemon's own address is now withdrawn whenever it is seen, if its server started before the present one.

Ruled out: a late copy from other daemons (the entries are in the store's listing), and servers of other daemons (names and addresses in the log belong to the same hosts).

Test: DeploymentSync "entries that a former process left are withdrawn when the store is read after the check-in" does not end before.

--- a/src/discovery/autotests/deploymentsynctest.cpp
+++ b/src/discovery/autotests/deploymentsynctest.cpp
@@ -30,18 +30,18 @@
         , store_(store)
         , server_(context, {HostAddress("127.0.0.1:0")}, *this)
         , address_(*server_.open())
-        , own_{ServerName("s" + std::to_string(number)),
-               ServiceName("desk"),
-               FailureDomainName("a"),
-               address_,
-               Incarnation(1),
-               1000,
-               1000,
-               4,
-               ServerState::Ready}
+        , own{ServerName("s" + std::to_string(number)),
+              ServiceName("desk"),
+              FailureDomainName("a"),
+              address_,
+              Incarnation(1),
+              1000,
+              1000,
+              4,
+              ServerState::Ready}
         , sync(context.get_executor(), store_, client, clock_, random_, {address_, kConfigurationKey, {}},
                {[](const std::string &, std::uint64_t) { return true; }, [] {}, [](const ServerRegistration &) {},
-                [this] { return std::optional(own_); }, [this] { return crashes; },
+                [this] { return std::optional(own); }, [this] { return crashes; },
                 [this](const std::vector<CrashReport> &reports) { return learn(reports); }})
     {
     }
@@ -68,9 +68,9 @@
     SharedObjectStore store_;
     HttpServer server_;
     HostAddress address_;
-    ServerRegistration own_;
 
 public:
+    ServerRegistration own;
     DeploymentSync sync;
 };
 
@@ -83,8 +83,6 @@
         store->create(kConfigurationKey, "1");
         for (int i = 0; i < count; ++i) {
             nodes.push_back(std::make_unique<Node>(context, client_, i, store));
-            nodes.back()->sync.start();
-            nodes.back()->sync.publish();
         }
     }
     ~Deployment()
@@ -94,6 +92,14 @@
         }
     }
 
+    void start()
+    {
+        for (const auto &node : nodes) {
+            node->sync.publish();
+            node->sync.start();
+        }
+    }
+
     /** Runs until @p isReached; the test's own timeout bounds it. */
     void runUntil(const std::function<bool()> &isReached)
     {
@@ -122,12 +128,36 @@
 
 } // namespace
 
+TEST_CASE("DeploymentSync: entries that a former process left are withdrawn when the store is read after the check-in")
+{
+    // Guards against servers that are gone and stay in the directory, so that each daemon goes on offering them
+    // requests.
+    Deployment deployment(1);
+    Node &node = *deployment.nodes.front();
+    const auto isStored = [&](const char *name) {
+        return deployment.store->get(std::string(kRegistrationKind) + "/" + name).has_value();
+    };
+    const auto leave = [&](const char *name, std::int64_t startedAt) {
+        ServerRegistration entry = node.own;
+        entry.name = ServerName(name);
+        entry.startedAt = startedAt;
+        deployment.store->create(std::string(kRegistrationKind) + "/" + name, serializeRegistration(entry));
+    };
+    leave("former", node.own.startedAt - 1);
+    leave("later", node.own.startedAt + 1);
+    deployment.start();
+    deployment.runUntil([&] { return !isStored("former"); });
+    CHECK(isStored("s0"));
+    CHECK(isStored("later"));
+}
+
 TEST_CASE("DeploymentSync: a crash becomes known beyond the daemons that are told at once")
 {
     // Guards against a request that crashes servers beside daemons which never hear of the crashes before.
     constexpr int kNodes = 60;
     constexpr std::size_t kTold = 50; ///< Nearly all; each daemon passes news on to a few that are drawn at random.
     Deployment deployment(kNodes);
+    deployment.start();
     deployment.runUntil([&] {
         return std::all_of(deployment.nodes.begin(), deployment.nodes.end(),
                            [](const auto &node) { return node->sync.directory().entries().size() == kNodes; });
--- a/src/discovery/deploymentsync.cpp
+++ b/src/discovery/deploymentsync.cpp
@@ -225,6 +225,11 @@
     }
     ownEntries_.insert(registration.name);
     callbacks_.ownEntryFound(registration);
+    // A restarted daemon may hear of its server before it sees what its predecessor left in the store.
+    const std::optional<ServerRegistration> present = callbacks_.ownRegistration();
+    if (present && present->name != registration.name && registration.startedAt <= present->startedAt) {
+        writer_.remove(registration.name);
+    }
 }
 
 void DeploymentSync::noteStore(const char *watch, bool &state, bool available)
