Ask early for the outcome of an attempt whose daemon answers nothing at all

Now a daemon that has answered nothing to this one for twice the median of the service (250 ms at least) is asked then; a query that can't connect within 200 ms ends a repeatable attempt at once, counts against the server, and closes the idle connections to it.

Tests: RoutedCallHandler "a request to a daemon that fell silent is served by another one in time" answered 504 before; Balancer "a server is silent since its last answer".

Kept for what the test shows.

--- a/src/daemon/callattempts.cpp
+++ b/src/daemon/callattempts.cpp
@@ -20,6 +20,8 @@
 /** Shortest wait before a connection counts as silent. */
 constexpr Millis kMinimumSilence{250};
 constexpr double kSilenceFactor = 3;
+/** As kSilenceFactor, on the median, where the daemon has answered nothing else either: the link is likely cut. */
+constexpr double kDaemonSilenceFactor = 2;
 /** Time between two outcome queries of an attempt whose connection is lost. */
 constexpr Millis kQueryInterval{100};
 constexpr Millis kQueryTimeout{1000};
@@ -30,6 +32,8 @@
 /** As ServerGateway awaits a non-repeatable attempt beyond its deadline. */
 constexpr Millis kNonRepeatableGrace{10000};
 constexpr int kStatusRunning = 202;
+/** Timers fire at whole milliseconds. */
+constexpr Millis kTimerStep{1};
 constexpr int kFirstServerErrorStatus = 500;
 
 std::unique_ptr<AttemptPolicy> makePolicy(const CallRequest &call)
@@ -79,6 +83,13 @@
     return std::max(kMinimumSilence, usual * kSilenceFactor);
 }
 
+Millis CallAttempts::daemonSilenceThreshold() const
+{
+    const Millis usual = services_.tables.callLatency.with(
+        [this](const LatencyTracker &tracker) { return tracker.quantile(call_.durationKey(), 0.5); });
+    return std::min(silenceThreshold(), std::max(kMinimumSilence, usual * kDaemonSilenceFactor));
+}
+
 void CallAttempts::cancel()
 {
     post([](CallAttempts &call) {
@@ -182,7 +193,7 @@
         return;
     }
     sendRemote(attempt, message);
-    armQueryTimer(attempt, silenceThreshold());
+    armQueryTimer(attempt, daemonSilenceThreshold());
 }
 
 void CallAttempts::sendRemote(const AttemptPtr &attempt, const CallMessage &message)
@@ -257,11 +268,27 @@
     queryTimer_.expires_after(toChrono(delay));
     queryTimer_.async_wait([self = shared_from_this(), attempt](const asio::error_code &error) {
         if (!error && !attempt->ended) {
-            self->queryOutcome(attempt);
+            self->checkSilence(attempt);
         }
     });
 }
 
+/** Asks for the outcome if the attempt takes unusually long, or if its daemon answers nothing to anybody. */
+void CallAttempts::checkSilence(const AttemptPtr &attempt)
+{
+    const Millis waited = services_.clock.now() - attempt->started;
+    const Millis silence = services_.routing.with(
+        [&](RoutingTable &routing) { return routing.silence(call_.service, attempt->server.name); });
+    const Millis untilLate = silenceThreshold() - waited;
+    const Millis untilSilent = daemonSilenceThreshold() - std::min(waited, silence);
+    const Millis rest = std::min(untilLate, untilSilent);
+    if (!attempt->connection || attempt->queried || rest <= Millis{0}) {
+        queryOutcome(attempt);
+        return;
+    }
+    armQueryTimer(attempt, std::max(rest, kTimerStep));
+}
+
 void CallAttempts::queryOutcome(const AttemptPtr &attempt)
 {
     if (attempt->queryPending) {
@@ -272,10 +299,11 @@
         return;
     }
     attempt->queryPending = true;
+    attempt->queried = true;
     services_.tables.metrics.recordOutcomeQuery();
     HttpCallOptions options;
     options.freshConnection = true;
-    options.connectTimeout = kQueryTimeout;
+    options.connectTimeout = kHopConnectTimeout;
     options.answerTimeout = kQueryTimeout;
     HttpRequest request{"GET", "/attempts/" + std::to_string(attempt->id.value()), {}, ""};
     request.headers.set(HeaderName::kIncarnation, std::to_string(attempt->server.incarnation.value()));
@@ -306,11 +334,20 @@
         return;
     }
     ++attempt->failedQueries;
-    const bool giveUp = attempt->failedQueries >= kMaximumFailedQueries;
+    const bool isUnreachable = result.error() == TransportError::ConnectFailed;
+    if (isUnreachable) {
+        services_.client.closeIdle(attempt->server.address);
+    }
+    const bool giveUp = isUnreachable || attempt->failedQueries >= kMaximumFailedQueries;
     if (!giveUp || !call_.repeatable) {
         armQueryTimer(attempt, kQueryInterval);
         return;
     }
+    if (isUnreachable) {
+        endAttempt(attempt, failedAnswer(ErrorKind::ConnectionLost), false);
+        afterFailure(ErrorKind::ConnectionLost, true);
+        return;
+    }
     onAnswer(attempt, failedAnswer(ErrorKind::ConnectionLost));
 }
 
--- a/src/daemon/callattempts.h
+++ b/src/daemon/callattempts.h
@@ -42,6 +42,7 @@
         std::shared_ptr<HttpCall> connection; ///< Null for the local server, or once the connection is lost.
         int failedQueries = 0;
         bool queryPending = false;
+        bool queried = false; ///< At least once.
         bool ended = false;
     };
     using AttemptPtr = std::shared_ptr<Attempt>;
@@ -55,6 +56,7 @@
     void onTransportError(const AttemptPtr &attempt, TransportError error);
     void onAnswer(const AttemptPtr &attempt, CallAnswer answer);
     void armQueryTimer(const AttemptPtr &attempt, Millis delay);
+    void checkSilence(const AttemptPtr &attempt);
     void queryOutcome(const AttemptPtr &attempt);
     void onOutcome(const AttemptPtr &attempt, HttpResult result);
     CallAnswer believedAnswer(const Attempt &attempt, CallAnswer answer) const;
@@ -63,6 +65,7 @@
     void finish(CallAnswer answer);
     void abort(const AttemptPtr &attempt);
     Millis silenceThreshold() const;
+    Millis daemonSilenceThreshold() const;
     TimePoint endBy() const;
 
     CallServices &services_;
--- a/src/daemon/routingtable.cpp
+++ b/src/daemon/routingtable.cpp
@@ -68,6 +68,11 @@
     entry(service).balancer->finished(server, hint);
 }
 
+Millis RoutingTable::silence(const ServiceName &service, const ServerName &server)
+{
+    return entry(service).balancer->silence(server);
+}
+
 void RoutingTable::connectFailed(const ServiceName &service, const ServerName &server)
 {
     entry(service).balancer->connectFailed(server);
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -362,6 +362,12 @@
     return exchange;
 }
 
+void HttpClient::closeIdle(const HostAddress &address)
+{
+    const std::lock_guard lock(d_->mutex);
+    d_->idle.erase(address);
+}
+
 std::size_t HttpClient::idleConnections() const
 {
     const std::lock_guard lock(d_->mutex);
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -64,6 +64,8 @@
     /** Sends @p request and calls @p callback once, on a worker. */
     std::shared_ptr<HttpCall> send(const HostAddress &address, HttpRequest request, const HttpCallOptions &options,
                                    HttpCallback callback);
+    /** Closes the idle connections to a server that can't be reached, so that nothing more is written to them. */
+    void closeIdle(const HostAddress &address);
     /** Number of open idle connections. */
     std::size_t idleConnections() const;
 
--- a/src/mesh/autotests/testmesh.h
+++ b/src/mesh/autotests/testmesh.h
@@ -3,6 +3,7 @@
 
 #include "mesh/meshdaemon.h"
 
+#include "core/chronotime.h"
 #include "daemon/contextbackendprotocol.h"
 #include "daemon/headernames.h"
 #include "http/httpclient.h"
@@ -20,6 +21,7 @@
 {
 
 inline constexpr const char *kRequestField = "X-Request";
+inline constexpr int kSlots = 40;
 inline constexpr const char *kTimeoutField = "X-Timeout"; ///< In ms.
 
 class TestCallers : public CallerProtocol
@@ -68,7 +70,7 @@
                        FailureDomainName("a"),
                        1000,
                        sequence,
-                       4,
+                       kSlots,
                        state == "ready" ? ServerState::Ready : ServerState::Draining};
     }
     HttpResponse acknowledge() const override
@@ -115,6 +117,9 @@
     void handle(HttpRequest request, HttpResponder respond) override
     {
         ++runs;
+        if (slowness > Millis{0}) {
+            std::this_thread::sleep_for(toChrono(slowness.load()));
+        }
         if (request.headers.find(kRequestField) == kHeldRequest) {
             heldConnection_ = request.connection;
             holds = true;
@@ -127,6 +132,7 @@
         heldClosed = heldClosed || (holds && connection == heldConnection_);
     }
     std::atomic<int> runs{0};
+    std::atomic<Millis> slowness{Millis{0}}; ///< Before each answer.
     std::atomic<bool> holds{false};
     std::atomic<bool> heldClosed{false};
 
@@ -235,6 +241,7 @@
         HttpRequest request{"GET", "/hold", {}, ""};
         request.host = "h";
         request.headers.add(kRequestField, name);
+        request.headers.add(kTimeoutField, timeout);
         return send(host.settings.callers, std::move(request));
     }
 
@@ -270,7 +277,7 @@
         }
     }
 
-    std::string timeout = "20000"; ///< Of held requests, in ms.
+    std::string timeout = "20000"; ///< Of the requests of held callers and of callFrom(), in ms.
     std::shared_ptr<MemoryObjectStore> store = std::make_shared<MemoryObjectStore>();
 
 private:
--- a/src/routing/autotests/balancertest.cpp
+++ b/src/routing/autotests/balancertest.cpp
@@ -287,3 +287,22 @@
         CHECK(before <= 56);
     }
 }
+
+TEST_CASE("Balancer: a server is silent since its last answer")
+{
+    // Guards against a cut link that is noticed only when the slowest requests are overdue.
+    Fixture fixture(2);
+    fixture.clock.advance(Millis{400});
+    fixture.balancer.started(nameOf(0));
+    fixture.balancer.started(nameOf(1));
+    AnswerHint answered;
+    answered.answered = true;
+    fixture.balancer.finished(nameOf(0), answered);
+    AnswerHint unanswered;
+    unanswered.answered = false;
+    fixture.balancer.finished(nameOf(1), unanswered);
+    fixture.clock.advance(Millis{100});
+    CHECK(fixture.balancer.silence(nameOf(0)) == Millis{100});
+    CHECK(fixture.balancer.silence(nameOf(1)) == Millis{500});
+    CHECK(fixture.balancer.silence(nameOf(4)) == Millis{0});
+}
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -101,6 +101,7 @@
         record->headroomAt = clock_.now();
     }
     if (hint.answered) {
+        record->answeredAt = clock_.now();
         record->connectFailures = 0;
         record->ejected = false;
         record->probing = false;
@@ -163,6 +164,12 @@
     return subset_;
 }
 
+Millis Balancer::silence(const ServerName &name) const
+{
+    const auto found = records_.find(name);
+    return found == records_.end() ? Millis{0} : clock_.now() - found->second.answeredAt;
+}
+
 int Balancer::inFlight(const ServerName &name) const
 {
     const auto found = records_.find(name);
@@ -181,6 +188,7 @@
     Record record;
     record.inFlight = inFlight(name);
     record.since = clock_.now();
+    record.answeredAt = record.since;
     records_.insert_or_assign(name, record);
     levels_.forget(name);
 }
--- a/src/routing/balancer.h
+++ b/src/routing/balancer.h
@@ -56,6 +56,9 @@
     /** Servers that pick() chooses from. */
     const std::vector<ServerView> &subset() const;
 
+    /** Time since an answer came from the daemon beside @p name, or since the server is known. */
+    Millis silence(const ServerName &name) const;
+
     /** Attempts of this daemon that are outstanding at @p name. */
     int inFlight(const ServerName &name) const;
 
@@ -67,6 +70,7 @@
     struct Record {
         int inFlight = 0;
         TimePoint since; ///< When this incarnation was first seen.
+        TimePoint answeredAt; ///< Of the last answer; at first, as since.
         std::optional<int> headroom;
         TimePoint headroomAt;
         int connectFailures = 0; ///< Consecutive.
