--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -7,6 +7,7 @@
 #include "daemon/callhandler.h"
 #include "daemon/contextbackendprotocol.h"
 #include "daemon/peershandler.h"
+#include "daemon/periodictimers.h"
 #include "daemon/statuspage.h"
 #include "discovery/deploymentsync.h"
 #include "http/httpserver.h"
@@ -29,9 +30,9 @@
 {
 
 constexpr const char *kConfigurationKey = "config/deployment";
-constexpr std::chrono::milliseconds kAdmissionTick{10};
-constexpr std::chrono::milliseconds kHealthTick{200};
-constexpr std::chrono::milliseconds kTableTick{1000};
+constexpr Millis kAdmissionTick{10};
+constexpr Millis kHealthTick{200};
+constexpr Millis kTableTick{1000};
 
 StoreTransportSettings storeSettings(const DaemonSettings &settings)
 {
@@ -55,7 +56,6 @@
 
     tl::expected<void, std::string> openListener(const char *name, HttpServer &server);
     void startTimers();
-    void repeat(std::chrono::milliseconds period, std::function<void()> step);
     bool installConfiguration(const std::string &text, std::uint64_t version);
     void updateRoutes();
     std::optional<ServerRegistration> ownRegistration() const;
@@ -92,7 +92,7 @@
     std::unique_ptr<HttpServer> callersServer;
     std::unique_ptr<HttpServer> localServer;
     std::unique_ptr<HttpServer> peersServer;
-    std::vector<std::unique_ptr<asio::steady_timer>> timers;
+    PeriodicTimers timers{context};
     std::vector<std::thread> workers;
     std::atomic<bool> draining{false};
     std::atomic<bool> superseded{false};
@@ -157,29 +157,11 @@
     return {};
 }
 
-void Daemon::Private::repeat(std::chrono::milliseconds period, std::function<void()> step)
-{
-    timers.push_back(std::make_unique<asio::steady_timer>(context));
-    asio::steady_timer *timer = timers.back().get();
-    const auto run = std::make_shared<std::function<void(const asio::error_code &)>>();
-    *run = [timer, period, step = std::move(step), weak = std::weak_ptr(run)](const asio::error_code &error) {
-        const auto again = weak.lock();
-        if (error || !again) {
-            return;
-        }
-        step();
-        timer->expires_after(period);
-        timer->async_wait([again](const asio::error_code &next) { (*again)(next); });
-    };
-    timer->expires_after(period);
-    timer->async_wait([run](const asio::error_code &error) { (*run)(error); });
-}
-
 void Daemon::Private::startTimers()
 {
-    repeat(kAdmissionTick, [this] { gateway->tick(); });
-    repeat(kHealthTick, [this] { health.tick(); });
-    repeat(kTableTick, [this] { expireTables(); });
+    timers.repeat(kAdmissionTick, [this] { gateway->tick(); });
+    timers.repeat(kHealthTick, [this] { health.tick(); });
+    timers.repeat(kTableTick, [this] { expireTables(); });
 }
 
 bool Daemon::Private::mayServe() const
--- a/src/mesh/meshdaemon.cpp
+++ b/src/mesh/meshdaemon.cpp
@@ -1,12 +1,13 @@
 #include "mesh/meshdaemon.h"
 
-#include "core/chronotime.h"
 #include "core/logevent.h"
 #include "core/steadyclock.h"
 #include "daemon/peershandler.h"
+#include "daemon/periodictimers.h"
 #include "discovery/deploymentsync.h"
 #include "http/httpserver.h"
 #include "mesh/checkinhandler.h"
+#include "mesh/pagehandler.h"
 #include "mesh/routedcallhandler.h"
 
 #include <chrono>
@@ -16,7 +17,6 @@
 
 #include <asio/post.hpp>
 #include <asio/signal_set.hpp>
-#include <asio/steady_timer.hpp>
 
 namespace Hibiscus
 {
@@ -40,27 +40,8 @@
 constexpr double kRetrySlackShare = 0.5;
 
 constexpr int kStatusOk = 200;
-constexpr int kStatusNotFound = 404;
 constexpr int kStatusUnavailable = 503;
 
-/** Answers one fixed page. */
-class PageHandler : public HttpHandler
-{
-public:
-    explicit PageHandler(std::function<HttpResponse()> page)
-        : page_(std::move(page))
-    {
-    }
-
-    void handle(HttpRequest request, HttpResponder respond) override
-    {
-        respond(request.method == "GET" ? page_() : HttpResponse{kStatusNotFound, {}, ""});
-    }
-
-private:
-    std::function<HttpResponse()> page_;
-};
-
 } // namespace
 
 class MeshDaemon::Private : public ServingGate
@@ -72,7 +53,6 @@
     std::optional<ErrorKind> refusal(const ServerName &target) const override;
 
     tl::expected<void, std::string> listen(const char *name, const HostAddress &address, HttpHandler &handler);
-    void repeat(Millis period, std::function<void()> step);
     bool adoptConfiguration(const std::string &value);
     std::optional<ServerRegistration> ownRegistration() const;
     void onCrash(const std::vector<Signature> &inFlight);
@@ -107,7 +87,7 @@
     PageHandler metricsPage;
     std::vector<std::unique_ptr<HttpServer>> servers;
     HttpServer *callersServer = nullptr;
-    std::vector<std::unique_ptr<asio::steady_timer>> timers;
+    PeriodicTimers timers{context};
     asio::signal_set signals;
     RouteTablePtr routes;
     std::int64_t startedAt = 0; ///< Of this process, in Unix milliseconds.
@@ -200,24 +180,6 @@
     return {};
 }
 
-void MeshDaemon::Private::repeat(Millis period, std::function<void()> step)
-{
-    timers.push_back(std::make_unique<asio::steady_timer>(context));
-    asio::steady_timer *timer = timers.back().get();
-    const auto run = std::make_shared<std::function<void(const asio::error_code &)>>();
-    *run = [timer, period, step = std::move(step), weak = std::weak_ptr(run)](const asio::error_code &error) {
-        const auto again = weak.lock();
-        if (error || !again) {
-            return;
-        }
-        step();
-        timer->expires_after(toChrono(period));
-        timer->async_wait([again](const asio::error_code &next) { (*again)(next); });
-    };
-    timer->expires_after(toChrono(period));
-    timer->async_wait([run](const asio::error_code &error) { (*run)(error); });
-}
-
 bool MeshDaemon::Private::adoptConfiguration(const std::string &value)
 {
     auto decoded = protocols.configuration->decode(value);
@@ -334,7 +296,7 @@
     calls.drain();
     gateway.recheckQueue();
     deployment.publish();
-    repeat(kDrainTick, [this] {
+    timers.repeat(kDrainTick, [this] {
         const Millis passed = clock.now() - drainStarted;
         const bool noticed = passed >= kNoticeTime;
         if (noticed) {
@@ -385,9 +347,9 @@
             d_->callersServer = d_->servers.back().get();
         }
     }
-    d_->repeat(kAdmissionTick, [this] { d_->gateway.tick(); });
-    d_->repeat(kHealthTick, [this] { d_->health.tick(); });
-    d_->repeat(kTableTick, [this] {
+    d_->timers.repeat(kAdmissionTick, [this] { d_->gateway.tick(); });
+    d_->timers.repeat(kHealthTick, [this] { d_->health.tick(); });
+    d_->timers.repeat(kTableTick, [this] {
         d_->tables.attempts.with([](AttemptTable &attempts) { attempts.tick(); });
         d_->tables.crashes.with([](CrashLedger &crashes) { crashes.tick(); });
     });
--- /dev/null
+++ b/src/mesh/pagehandler.h
@@ -0,0 +1,25 @@
+#ifndef HIBISCUS_MESH_PAGEHANDLER_H
+#define HIBISCUS_MESH_PAGEHANDLER_H
+
+#include "http/httphandler.h"
+
+#include <functional>
+
+namespace Hibiscus
+{
+
+/** Answers GET requests with one page, and others with 404. */
+class PageHandler : public HttpHandler
+{
+public:
+    explicit PageHandler(std::function<HttpResponse()> page);
+
+    void handle(HttpRequest request, HttpResponder respond) override;
+
+private:
+    std::function<HttpResponse()> page_;
+};
+
+} // namespace Hibiscus
+
+#endif
