CallAttempts: the outcome queries move to OutcomeWatch

The wait for a silent daemon, the queries and what is believed of their answers are a class of their own.

--- a/src/daemon/callattempts.cpp
+++ b/src/daemon/callattempts.cpp
@@ -1,13 +1,11 @@
 #include "daemon/callattempts.h"
 
-#include "core/chronotime.h"
 #include "core/logevent.h"
 #include "daemon/headernames.h"
 #include "retry/allowanceattemptpolicy.h"
 #include "retry/routeattemptpolicy.h"
 
 #include <algorithm>
-#include <chrono>
 
 #include <asio/post.hpp>
 
@@ -17,23 +15,8 @@
 namespace
 {
 
-/** Shortest wait before a connection counts as silent. */
-constexpr Millis kMinimumSilence{250};
-constexpr double kSilenceFactor = 3;
-/** As kSilenceFactor, on the median, where the daemon has answered nothing else either: the link is likely cut. */
-constexpr double kDaemonSilenceFactor = 2;
-/** Time between two outcome queries of an attempt whose connection is lost. */
-constexpr Millis kQueryInterval{100};
-constexpr Millis kQueryTimeout{1000};
-/** Time to reach another daemon; one that doesn't accept within it is cut off, has lost power or is overloaded. */
-constexpr Millis kHopConnectTimeout{200};
-/** Queries without an answer after which a lost repeatable attempt is given up. */
-constexpr int kMaximumFailedQueries = 3;
 /** As ServerGateway awaits a non-repeatable attempt beyond its deadline. */
 constexpr Millis kNonRepeatableGrace{10000};
-constexpr int kStatusRunning = 202;
-/** Timers fire at whole milliseconds. */
-constexpr Millis kTimerStep{1};
 constexpr int kFirstServerErrorStatus = 500;
 
 std::unique_ptr<AttemptPolicy> makePolicy(const CallRequest &call)
@@ -51,7 +34,6 @@
     , call_(std::move(call))
     , callback_(std::move(callback))
     , strand_(asio::make_strand(services.context))
-    , queryTimer_(strand_)
     , policy_(makePolicy(call_))
     , started_(services.clock.now())
 {
@@ -76,20 +58,6 @@
     return call_.repeatable ? call_.deadline : call_.deadline + kNonRepeatableGrace;
 }
 
-Millis CallAttempts::silenceThreshold() const
-{
-    const Millis usual = services_.tables.callLatency.with(
-        [this](const LatencyTracker &tracker) { return tracker.quantile(call_.durationKey(), 0.99); });
-    return std::max(kMinimumSilence, usual * kSilenceFactor);
-}
-
-Millis CallAttempts::daemonSilenceThreshold() const
-{
-    const Millis usual = services_.tables.callLatency.with(
-        [this](const LatencyTracker &tracker) { return tracker.quantile(call_.durationKey(), 0.5); });
-    return std::min(silenceThreshold(), std::max(kMinimumSilence, usual * kDaemonSilenceFactor));
-}
-
 void CallAttempts::cancel()
 {
     post([](CallAttempts &call) {
@@ -136,8 +104,8 @@
         services_.gateway.cancel(attempt->id);
     } else if (!attempt->connection || attempt->connection->isWritten()) {
         HttpCallOptions options;
-        options.connectTimeout = kQueryTimeout;
-        options.answerTimeout = kQueryTimeout;
+        options.connectTimeout = OutcomeWatch::kQueryTimeout;
+        options.answerTimeout = OutcomeWatch::kQueryTimeout;
         HttpRequest request{"DELETE", "/attempts/" + std::to_string(attempt->id.value()), {}, ""};
         // Without an answer the attempt runs to its deadline, which does no harm but to its server.
         services_.client.send(attempt->server.address, std::move(request), options, [](const HttpResult &) {});
@@ -193,14 +161,15 @@
         return;
     }
     sendRemote(attempt, message);
-    armQueryTimer(attempt, daemonSilenceThreshold());
+    attempt->watch = watch(attempt);
+    attempt->watch->start();
 }
 
 void CallAttempts::sendRemote(const AttemptPtr &attempt, const CallMessage &message)
 {
     HttpCallOptions options;
-    options.connectTimeout = kHopConnectTimeout;
-    options.answerTimeout = endBy() - services_.clock.now() + kQueryTimeout;
+    options.connectTimeout = OutcomeWatch::kConnectTimeout;
+    options.answerTimeout = endBy() - services_.clock.now() + OutcomeWatch::kQueryTimeout;
     attempt->connection =
         services_.client.send(attempt->server.address, encodeCall(message, call_, attempt->granted, services_.clock),
                               options, [self = shared_from_this(), attempt](HttpResult result) {
@@ -220,6 +189,23 @@
                               });
 }
 
+std::shared_ptr<OutcomeWatch> CallAttempts::watch(const AttemptPtr &attempt)
+{
+    const WatchedAttempt watched{attempt->id,         attempt->server, attempt->started, call_.service,
+                                 call_.durationKey(), endBy(),         call_.repeatable};
+    // The watch belongs to the attempt, and stop() in endAttempt() drops these references.
+    OutcomeWatch::Callbacks callbacks;
+    callbacks.isConnected = [attempt] { return attempt->connection != nullptr; };
+    callbacks.ended = [self = shared_from_this(), attempt](CallAnswer answer) {
+        self->onAnswer(attempt, std::move(answer));
+    };
+    callbacks.unreachable = [self = shared_from_this(), attempt] {
+        self->endAttempt(attempt, failedAnswer(ErrorKind::ConnectionLost), false);
+        self->afterFailure(ErrorKind::ConnectionLost, true);
+    };
+    return std::make_shared<OutcomeWatch>(services_, strand_, watched, std::move(callbacks));
+}
+
 void CallAttempts::onTransportError(const AttemptPtr &attempt, TransportError error)
 {
     if (attempt->ended) {
@@ -230,7 +216,7 @@
         afterFailure(ErrorKind::Unreachable, true);
         return;
     }
-    queryOutcome(attempt);
+    attempt->watch->query();
 }
 
 void CallAttempts::onAnswer(const AttemptPtr &attempt, CallAnswer answer)
@@ -263,108 +249,12 @@
     afterFailure(kind, true);
 }
 
-void CallAttempts::armQueryTimer(const AttemptPtr &attempt, Millis delay)
-{
-    queryTimer_.expires_after(toChrono(delay));
-    queryTimer_.async_wait([self = shared_from_this(), attempt](const asio::error_code &error) {
-        if (!error && !attempt->ended) {
-            self->checkSilence(attempt);
-        }
-    });
-}
-
-/** Asks for the outcome if the attempt takes unusually long, or if its daemon answers nothing to anybody. */
-void CallAttempts::checkSilence(const AttemptPtr &attempt)
-{
-    const Millis waited = services_.clock.now() - attempt->started;
-    const Millis silence = services_.routing.with(
-        [&](RoutingTable &routing) { return routing.silence(call_.service, attempt->server.name); });
-    const Millis untilLate = silenceThreshold() - waited;
-    const Millis untilSilent = daemonSilenceThreshold() - std::min(waited, silence);
-    const Millis rest = std::min(untilLate, untilSilent);
-    if (!attempt->connection || attempt->queried || rest <= Millis{0}) {
-        queryOutcome(attempt);
-        return;
-    }
-    armQueryTimer(attempt, std::max(rest, kTimerStep));
-}
-
-void CallAttempts::queryOutcome(const AttemptPtr &attempt)
-{
-    if (attempt->queryPending) {
-        return;
-    }
-    if (services_.clock.now() >= endBy()) {
-        onAnswer(attempt, failedAnswer(ErrorKind::DeadlineExceeded));
-        return;
-    }
-    attempt->queryPending = true;
-    attempt->queried = true;
-    services_.tables.metrics.recordOutcomeQuery();
-    HttpCallOptions options;
-    options.freshConnection = true;
-    options.connectTimeout = kHopConnectTimeout;
-    options.answerTimeout = kQueryTimeout;
-    HttpRequest request{"GET", "/attempts/" + std::to_string(attempt->id.value()), {}, ""};
-    request.headers.set(HeaderName::kIncarnation, std::to_string(attempt->server.incarnation.value()));
-    services_.client.send(attempt->server.address, std::move(request), options,
-                          [self = shared_from_this(), attempt](HttpResult result) {
-                              self->post([attempt, result = std::move(result)](CallAttempts &call) mutable {
-                                  call.onOutcome(attempt, std::move(result));
-                              });
-                          });
-}
-
-void CallAttempts::onOutcome(const AttemptPtr &attempt, HttpResult result)
-{
-    attempt->queryPending = false;
-    if (attempt->ended) {
-        return;
-    }
-    if (result && result->status == kStatusRunning) {
-        attempt->failedQueries = 0;
-        armQueryTimer(attempt, attempt->connection ? silenceThreshold() : kQueryInterval);
-        return;
-    }
-    if (result) {
-        logEvent(LogEvent::ConnectionSilent,
-                 "outcome of attempt " + std::to_string(attempt->id.value()) + " on " + attempt->server.name.value()
-                     + " came over a new connection");
-        onAnswer(attempt, believedAnswer(*attempt, decodeAnswer(std::move(*result))));
-        return;
-    }
-    ++attempt->failedQueries;
-    const bool isUnreachable = result.error() == TransportError::ConnectFailed;
-    if (isUnreachable) {
-        services_.client.closeIdle(attempt->server.address);
-    }
-    const bool giveUp = isUnreachable || attempt->failedQueries >= kMaximumFailedQueries;
-    if (!giveUp || !call_.repeatable) {
-        armQueryTimer(attempt, kQueryInterval);
-        return;
-    }
-    if (isUnreachable) {
-        endAttempt(attempt, failedAnswer(ErrorKind::ConnectionLost), false);
-        afterFailure(ErrorKind::ConnectionLost, true);
-        return;
-    }
-    onAnswer(attempt, failedAnswer(ErrorKind::ConnectionLost));
-}
-
-CallAnswer CallAttempts::believedAnswer(const Attempt &attempt, CallAnswer answer) const
-{
-    // After a pause of this process the record of the attempt may have expired, and "never seen" says nothing.
-    if (answer.outcome() == Outcome::NotRun
-        && services_.clock.now() - attempt.started > AttemptTable::kReportValidity) {
-        answer.response = tl::unexpected(ErrorKind::ConnectionLost);
-    }
-    return answer;
-}
-
 void CallAttempts::endAttempt(const AttemptPtr &attempt, const CallAnswer &answer, bool connected)
 {
     attempt->ended = true;
-    queryTimer_.cancel();
+    if (attempt->watch) {
+        attempt->watch->stop();
+    }
     if (attempt->connection) {
         attempt->connection->cancel();
         attempt->connection.reset();
--- a/src/daemon/callattempts.h
+++ b/src/daemon/callattempts.h
@@ -2,12 +2,12 @@
 #define HIBISCUS_DAEMON_CALLATTEMPTS_H
 
 #include "daemon/callservices.h"
+#include "daemon/outcomewatch.h"
 #include "retry/attemptpolicy.h"
 
 #include <memory>
 #include <vector>
 
-#include <asio/steady_timer.hpp>
 #include <asio/strand.hpp>
 
 namespace Hibiscus
@@ -40,9 +40,7 @@
         int granted = 0;
         TimePoint started;
         std::shared_ptr<HttpCall> connection; ///< Null for the local server, or once the connection is lost.
-        int failedQueries = 0;
-        bool queryPending = false;
-        bool queried = false; ///< At least once.
+        std::shared_ptr<OutcomeWatch> watch; ///< Null for the local server.
         bool ended = false;
     };
     using AttemptPtr = std::shared_ptr<Attempt>;
@@ -53,26 +51,19 @@
     void beginAttempt();
     void send(const AttemptPtr &attempt);
     void sendRemote(const AttemptPtr &attempt, const CallMessage &message);
+    std::shared_ptr<OutcomeWatch> watch(const AttemptPtr &attempt);
     void onTransportError(const AttemptPtr &attempt, TransportError error);
     void onAnswer(const AttemptPtr &attempt, CallAnswer answer);
-    void armQueryTimer(const AttemptPtr &attempt, Millis delay);
-    void checkSilence(const AttemptPtr &attempt);
-    void queryOutcome(const AttemptPtr &attempt);
-    void onOutcome(const AttemptPtr &attempt, HttpResult result);
-    CallAnswer believedAnswer(const Attempt &attempt, CallAnswer answer) const;
     void endAttempt(const AttemptPtr &attempt, const CallAnswer &answer, bool connected);
     void afterFailure(ErrorKind kind, bool mayRetry);
     void finish(CallAnswer answer);
     void abort(const AttemptPtr &attempt);
-    Millis silenceThreshold() const;
-    Millis daemonSilenceThreshold() const;
     TimePoint endBy() const;
 
     CallServices &services_;
     CallRequest call_;
     CallCallback callback_;
     asio::strand<asio::io_context::executor_type> strand_;
-    asio::steady_timer queryTimer_;
     std::unique_ptr<AttemptPolicy> policy_;
     std::vector<ServerName> tried_;
     TimePoint started_;
--- /dev/null
+++ b/src/daemon/outcomewatch.cpp
@@ -0,0 +1,176 @@
+#include "daemon/outcomewatch.h"
+
+#include "core/chronotime.h"
+#include "core/logevent.h"
+#include "daemon/headernames.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <asio/post.hpp>
+
+namespace Hibiscus
+{
+
+namespace
+{
+
+/** Shortest wait before a connection counts as silent. */
+constexpr Millis kMinimumSilence{250};
+/** Factor on the usual p99 after which a single attempt counts as late. */
+constexpr double kSilenceFactor = 3;
+/** Factor on the usual median, where the daemon has answered nothing else either: the link is likely cut. */
+constexpr double kDaemonSilenceFactor = 2;
+/** Time between two queries of an attempt whose connection is lost. */
+constexpr Millis kQueryInterval{100};
+/** Queries without an answer after which a lost repeatable attempt is given up. */
+constexpr int kMaximumFailedQueries = 3;
+/** Timers fire at whole milliseconds. */
+constexpr Millis kTimerStep{1};
+constexpr int kStatusRunning = 202;
+
+} // namespace
+
+OutcomeWatch::OutcomeWatch(CallServices &services, const Strand &strand, WatchedAttempt attempt, Callbacks callbacks)
+    : services_(services)
+    , strand_(strand)
+    , timer_(strand_)
+    , attempt_(std::move(attempt))
+    , callbacks_(std::move(callbacks))
+{
+}
+
+void OutcomeWatch::start()
+{
+    armTimer(daemonSilenceThreshold());
+}
+
+void OutcomeWatch::stop()
+{
+    stopped_ = true;
+    timer_.cancel();
+    callbacks_ = {};
+}
+
+Millis OutcomeWatch::silenceThreshold() const
+{
+    const Millis usual = services_.tables.callLatency.with(
+        [this](const LatencyTracker &tracker) { return tracker.quantile(attempt_.durationKey, 0.99); });
+    return std::max(kMinimumSilence, usual * kSilenceFactor);
+}
+
+Millis OutcomeWatch::daemonSilenceThreshold() const
+{
+    const Millis usual = services_.tables.callLatency.with(
+        [this](const LatencyTracker &tracker) { return tracker.quantile(attempt_.durationKey, 0.5); });
+    return std::min(silenceThreshold(), std::max(kMinimumSilence, usual * kDaemonSilenceFactor));
+}
+
+void OutcomeWatch::armTimer(Millis delay)
+{
+    timer_.expires_after(toChrono(delay));
+    timer_.async_wait([self = shared_from_this()](const asio::error_code &error) {
+        if (!error && !self->stopped_) {
+            self->checkSilence();
+        }
+    });
+}
+
+void OutcomeWatch::checkSilence()
+{
+    const Millis waited = services_.clock.now() - attempt_.started;
+    const Millis silence = services_.routing.with(
+        [this](RoutingTable &routing) { return routing.silence(attempt_.service, attempt_.server.name); });
+    const Millis untilLate = silenceThreshold() - waited;
+    const Millis untilSilent = daemonSilenceThreshold() - std::min(waited, silence);
+    const Millis rest = std::min(untilLate, untilSilent);
+    if (!callbacks_.isConnected() || queried_ || rest <= Millis{0}) {
+        query();
+        return;
+    }
+    armTimer(std::max(rest, kTimerStep));
+}
+
+void OutcomeWatch::query()
+{
+    if (queryPending_ || stopped_) {
+        return;
+    }
+    if (services_.clock.now() >= attempt_.endBy) {
+        end(failedAnswer(ErrorKind::DeadlineExceeded));
+        return;
+    }
+    queryPending_ = true;
+    queried_ = true;
+    services_.tables.metrics.recordOutcomeQuery();
+    HttpCallOptions options;
+    options.freshConnection = true;
+    options.connectTimeout = kConnectTimeout;
+    options.answerTimeout = kQueryTimeout;
+    HttpRequest request{"GET", "/attempts/" + std::to_string(attempt_.id.value()), {}, ""};
+    request.headers.set(HeaderName::kIncarnation, std::to_string(attempt_.server.incarnation.value()));
+    services_.client.send(attempt_.server.address, std::move(request), options,
+                          [self = shared_from_this()](HttpResult result) {
+                              asio::post(self->strand_, [self, result = std::move(result)] { self->onReport(result); });
+                          });
+}
+
+void OutcomeWatch::onReport(const HttpResult &result)
+{
+    queryPending_ = false;
+    if (stopped_) {
+        return;
+    }
+    if (!result) {
+        onFailedQuery(result.error());
+        return;
+    }
+    if (result->status == kStatusRunning) {
+        failedQueries_ = 0;
+        armTimer(callbacks_.isConnected() ? silenceThreshold() : kQueryInterval);
+        return;
+    }
+    logEvent(LogEvent::ConnectionSilent,
+             "outcome of attempt " + std::to_string(attempt_.id.value()) + " on " + attempt_.server.name.value()
+                 + " came over a new connection");
+    end(believed(decodeAnswer(HttpResponse(*result))));
+}
+
+void OutcomeWatch::onFailedQuery(TransportError error)
+{
+    ++failedQueries_;
+    const bool isUnreachable = error == TransportError::ConnectFailed;
+    if (isUnreachable) {
+        services_.client.closeIdle(attempt_.server.address);
+    }
+    if (attempt_.repeatable && isUnreachable) {
+        // The callback calls stop(), which drops the callbacks.
+        const auto unreachable = callbacks_.unreachable;
+        unreachable();
+        return;
+    }
+    if (attempt_.repeatable && failedQueries_ >= kMaximumFailedQueries) {
+        end(failedAnswer(ErrorKind::ConnectionLost));
+        return;
+    }
+    armTimer(kQueryInterval);
+}
+
+void OutcomeWatch::end(CallAnswer answer)
+{
+    // The callback calls stop(), which drops the callbacks.
+    const auto ended = callbacks_.ended;
+    ended(std::move(answer));
+}
+
+CallAnswer OutcomeWatch::believed(CallAnswer answer) const
+{
+    // After a pause of this process the record of the attempt may have expired, and "never seen" says nothing.
+    if (answer.outcome() == Outcome::NotRun
+        && services_.clock.now() - attempt_.started > AttemptTable::kReportValidity) {
+        answer.response = tl::unexpected(ErrorKind::ConnectionLost);
+    }
+    return answer;
+}
+
+} // namespace Hibiscus
