The server beside a leaving daemon works on for 1.5 s

The registration now becomes `detached`, and new work is refused, 1.5 s after SIGTERM; the daemon leaves from 2.5 s on, when what it has taken has ended.

Ruled out: serving to the end of the notice time; what is taken then may not end within the grace period.

Test: MeshDaemon "a server works on at first while its daemon leaves, and gets nothing later" answered 503 before.

--- a/src/mesh/autotests/meshdaemontest.cpp
+++ b/src/mesh/autotests/meshdaemontest.cpp
@@ -54,6 +54,25 @@
     }
 }
 
+TEST_CASE("MeshDaemon: a server works on at first while its daemon leaves, and gets nothing later")
+{
+    // Guards against a rolling restart that takes each server away for the whole time of its daemon's drain.
+    Mesh mesh;
+    REQUIRE(mesh.report(*mesh.desk, mesh.desk->report(1, "ready")) == 200);
+    mesh.await(200);
+    mesh.desk->drain();
+    while (mesh.send(mesh.desk->settings.ready, {"GET", "/ready", {}, ""}).status == 200) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    CHECK(mesh.call("early").status == 200);
+    while (mesh.call("waits").status == 200) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    const int runs = mesh.desk->handler.runs;
+    CHECK(mesh.call("late").status == 503);
+    CHECK(mesh.desk->handler.runs == runs);
+}
+
 TEST_CASE("MeshDaemon: a hang-up signal ends no request")
 {
     // Guards against the default action of SIGHUP, which ends the process.
--- a/src/mesh/meshdaemon.cpp
+++ b/src/mesh/meshdaemon.cpp
@@ -28,6 +28,9 @@
 constexpr Millis kHealthTick{200};
 constexpr Millis kTableTick{1000};
 constexpr Millis kDrainTick{50};
+/** The server beside a leaving daemon goes on taking work for this time; what it has taken then ends before the process
+ * does, except for requests that take longer than the rest of the grace period. */
+constexpr Millis kServeTime{1500};
 /** Callers notice by their probes that this daemon leaves, and send no new requests after this time. */
 constexpr Millis kNoticeTime{2500};
 /** Kept back of the grace period for the end of the process. */
@@ -93,6 +96,7 @@
     std::int64_t startedAt = 0; ///< Of this process, in Unix milliseconds.
     std::uint64_t crashSequence = 0;
     bool draining = false;
+    bool detached = false; ///< The server beside this daemon gets no more work from it.
     TimePoint drainStarted;
 };
 
@@ -162,7 +166,7 @@
 
 std::optional<ErrorKind> MeshDaemon::Private::refusal(const ServerName &target) const
 {
-    return draining ? std::optional(ErrorKind::Draining) : localServer.refusal(target);
+    return detached ? std::optional(ErrorKind::Draining) : localServer.refusal(target);
 }
 
 tl::expected<void, std::string> MeshDaemon::Private::listen(const char *name, const HostAddress &address,
@@ -275,7 +279,7 @@
     if (!server) {
         return std::nullopt;
     }
-    const ServerState state = draining && server->state == ServerState::Ready ? ServerState::Detached : server->state;
+    const ServerState state = detached && server->state == ServerState::Ready ? ServerState::Detached : server->state;
     return ServerRegistration{server->name,      server->service, settings.domain, settings.peers, self.incarnation,
                               server->startedAt, startedAt,       server->slots,   state};
 }
@@ -294,10 +298,13 @@
     drainStarted = clock.now();
     logEvent(LogEvent::DaemonDraining, settings.host);
     calls.drain();
-    gateway.recheckQueue();
-    deployment.publish();
     timers.repeat(kDrainTick, [this] {
         const Millis passed = clock.now() - drainStarted;
+        if (!detached && passed >= kServeTime) {
+            detached = true;
+            gateway.recheckQueue();
+            deployment.publish();
+        }
         const bool noticed = passed >= kNoticeTime;
         if (noticed) {
             // Other daemons go on asking for the outcome of their attempts until the end.
