Stay in the failure domain while its servers have room

Cause: the balancer compared its own requests in flight, three-fold, between the best server of its domain and of the others, so the fifth request under way left the domain however much room there was.

Now a decision of its own (domainspill) compares the shares of the slots in use, which responses report, and the warmth after a start; what leaves grows with what is lacking. While no load is known the old comparison stays.

--- a/src/core/randomsource.h
+++ b/src/core/randomsource.h
@@ -21,6 +21,14 @@
     {
         return next() % count;
     }
+
+    /** Uniform in [0, 1). */
+    double fraction()
+    {
+        constexpr int kMantissaBits = 53;
+        constexpr double kScale = 1.0 / (std::uint64_t{1} << kMantissaBits);
+        return static_cast<double>(next() >> (64 - kMantissaBits)) * kScale;
+    }
 };
 
 /** Reproducible pseudo-random sequence of a given seed. */
--- a/src/daemon/callattempts.cpp
+++ b/src/daemon/callattempts.cpp
@@ -263,6 +263,7 @@
     policy_->settleGrant(attempt->granted, isOutcomeKnown ? result.spent : std::nullopt);
     AttemptFeedback feedback;
     feedback.headroom = result.headroom;
+    feedback.limit = result.limit;
     feedback.responded = result.headroom.has_value();
     if (result.level) {
         feedback.level = Level{*result.level};
--- a/src/daemon/callhandler.cpp
+++ b/src/daemon/callhandler.cpp
@@ -32,6 +32,7 @@
     result.level.reset();
     result.subtreeLevel.reset();
     result.headroom.reset();
+    result.limit.reset();
     return encodeResult(std::move(result));
 }
 
--- a/src/daemon/callmessage.cpp
+++ b/src/daemon/callmessage.cpp
@@ -210,6 +210,7 @@
     setOptional(response.headers, HeaderName::kLevel, result.level);
     setOptional(response.headers, HeaderName::kSubtreeLevel, result.subtreeLevel);
     setOptional(response.headers, HeaderName::kHeadroom, result.headroom);
+    setOptional(response.headers, HeaderName::kLimit, result.limit);
     if (result.incarnation) {
         response.headers.set(HeaderName::kIncarnation, std::to_string(result.incarnation->value()));
     }
@@ -226,6 +227,7 @@
     result.level = parseNumber<int>(response.headers.find(HeaderName::kLevel));
     result.subtreeLevel = parseNumber<int>(response.headers.find(HeaderName::kSubtreeLevel));
     result.headroom = parseNumber<int>(response.headers.find(HeaderName::kHeadroom));
+    result.limit = parseNumber<int>(response.headers.find(HeaderName::kLimit));
     if (const auto incarnation = parseNumber<std::uint64_t>(response.headers.find(HeaderName::kIncarnation))) {
         result.incarnation = Incarnation(*incarnation);
     }
--- a/src/daemon/callrequest.h
+++ b/src/daemon/callrequest.h
@@ -68,6 +68,7 @@
     std::optional<int> level; ///< Lowest level that the executing daemon admits.
     std::optional<int> subtreeLevel; ///< Lowest level that the daemons of all calls below this one admit.
     std::optional<int> headroom; ///< Free capacity at the executing daemon.
+    std::optional<int> limit; ///< Requests that the server of the executing daemon can run at a time.
     std::optional<Incarnation> incarnation; ///< Of the daemon that refused an attempt addressed to an earlier process.
     std::optional<Millis> retryAfter; ///< Time after which a refused call is worth sending again.
 
--- a/src/daemon/headernames.h
+++ b/src/daemon/headernames.h
@@ -25,6 +25,7 @@
 inline constexpr std::string_view kLevel = "Hibiscus-Level";
 inline constexpr std::string_view kSubtreeLevel = "Hibiscus-Subtree-Level";
 inline constexpr std::string_view kHeadroom = "Hibiscus-Headroom";
+inline constexpr std::string_view kLimit = "Hibiscus-Limit";
 inline constexpr std::string_view kCoordinate = "Hibiscus-Coordinate";
 inline constexpr std::string_view kIncarnation = "Hibiscus-Incarnation";
 inline constexpr std::string_view kServer = "Hibiscus-Server";
--- a/src/daemon/servergateway.cpp
+++ b/src/daemon/servergateway.cpp
@@ -387,6 +387,7 @@
     tables_.admission.with([&result](const AdmissionController &admission) {
         result.level = admission.level().value;
         result.headroom = admission.headroom();
+        result.limit = admission.limit();
     });
     pending->callback(std::move(result));
 }
--- a/src/mesh/routedcallhandler.cpp
+++ b/src/mesh/routedcallhandler.cpp
@@ -239,10 +239,8 @@
 
 Millis RoutedCallHandler::retryAfterDelay(Millis latencyTarget)
 {
-    constexpr std::uint64_t kSteps = 1000;
     const Millis base = latencyTarget > Millis{0} ? latencyTarget * kRetryAfterShare : kUnknownRouteRetryAfter;
-    const double fraction =
-        static_cast<double>(services_.random.with([](DeviceRandom &random) { return random.below(kSteps); })) / kSteps;
+    const double fraction = services_.random.with([](DeviceRandom &random) { return random.fraction(); });
     return base * (1 - kRetryAfterJitter + 2 * kRetryAfterJitter * fraction);
 }
 
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -10,7 +10,7 @@
 {
 
 constexpr Millis kHeadroomLifetime{2000};
-// Factor on the score of a server in another failure domain: a hop to it costs 1 to 1.5 ms each way.
+// Factor on the score of a server in another failure domain, while the load of the own servers isn't known.
 constexpr double kOtherDomainPenalty = 3;
 constexpr Millis kSlowStart{10000};
 // Share of the usual load that a server gets right after its start.
@@ -21,6 +21,13 @@
 constexpr Millis kInitialBackoff{500};
 constexpr Millis kMaximumBackoff{8000};
 
+/** Share of @p limit that is in use; if the limit isn't known, 1 without headroom and else 0. */
+double busyShare(int headroom, const std::optional<int> &limit)
+{
+    const int known = limit.value_or(std::max(headroom, 1));
+    return known <= 0 ? 1 : std::clamp(1 - static_cast<double>(headroom) / known, 0.0, 1.0);
+}
+
 } // namespace
 
 Balancer::Balancer(BalancerSettings settings, const Clock &clock, RandomSource &random)
@@ -72,7 +79,7 @@
     if (!bestOwn && !bestOther) {
         return tl::make_unexpected(shed ? ErrorKind::Overloaded : ErrorKind::NoServer);
     }
-    const bool useOther = !bestOwn || (bestOther && isBetter(*bestOther, kOtherDomainPenalty, *bestOwn));
+    const bool useOther = !bestOwn || (bestOther && leavesDomain(*bestOwn, *bestOther));
     return *(useOther ? bestOther : bestOwn)->name;
 }
 
@@ -98,6 +105,7 @@
     }
     if (feedback.headroom) {
         record->headroom = *feedback.headroom;
+        record->busyShare = busyShare(*feedback.headroom, feedback.limit);
         record->headroomAt = clock_.now();
     }
     if (feedback.responded) {
@@ -222,10 +230,28 @@
 
 double Balancer::score(const Record &record, bool useHeadroom) const
 {
-    const double age = std::clamp((clock_.now() - record.firstSeenAt).value / kSlowStart.value, 0.0, 1.0);
-    const double weight = std::max(kInitialWeight, age);
     const double headroom = useHeadroom ? std::max<double>(*record.headroom, kMinimumHeadroom) : 1;
-    return (record.inFlight + 1) / (headroom * weight);
+    return (record.inFlight + 1) / (headroom * warmth(record));
+}
+
+/** Share of the usual load for a server, which rises during the slow start. */
+double Balancer::warmth(const Record &record) const
+{
+    const double age = std::clamp((clock_.now() - record.firstSeenAt).value / kSlowStart.value, 0.0, 1.0);
+    return std::max(kInitialWeight, age);
+}
+
+ServerCondition Balancer::condition(const Record &record) const
+{
+    return {hasCurrentHeadroom(record) ? record.busyShare : 0, warmth(record)};
+}
+
+bool Balancer::leavesDomain(const Candidate &own, const Candidate &other)
+{
+    if (!hasCurrentHeadroom(*own.record)) {
+        return isBetter(other, kOtherDomainPenalty, own);
+    }
+    return random_.fraction() < otherDomainShare(condition(*own.record), condition(*other.record));
 }
 
 /** Whether @p a has a lower score than @p b when its score is multiplied by @p penalty. */
--- a/src/routing/balancer.h
+++ b/src/routing/balancer.h
@@ -4,6 +4,7 @@
 #include "core/clock.h"
 #include "core/errorkind.h"
 #include "core/randomsource.h"
+#include "routing/domainspill.h"
 #include "routing/levelmap.h"
 #include "routing/serverset.h"
 #include "routing/subsetselector.h"
@@ -72,6 +73,7 @@
         TimePoint firstSeenAt; ///< When this incarnation was first seen.
         TimePoint respondedAt; ///< Time of the last response; firstSeenAt until there is one.
         std::optional<int> headroom;
+        double busyShare = 0; ///< Of the limit reported along with the headroom.
         TimePoint headroomAt;
         int connectFailures = 0; ///< Consecutive.
         bool ejected = false;
@@ -90,7 +92,10 @@
     bool mayBeTried(const Record &record) const;
     bool hasCurrentHeadroom(const Record &record) const;
     double score(const Record &record, bool useHeadroom) const;
+    double warmth(const Record &record) const;
+    ServerCondition condition(const Record &record) const;
     bool isBetter(const Candidate &a, double penalty, const Candidate &b) const;
+    bool leavesDomain(const Candidate &own, const Candidate &other);
     std::optional<Candidate> chooseOfTwo(const std::vector<Candidate> &candidates);
 
     BalancerSettings settings_;
--- a/src/routing/serverview.h
+++ b/src/routing/serverview.h
@@ -24,6 +24,7 @@
 struct AttemptFeedback {
     std::optional<Level> level; ///< Hibiscus-Level: lowest level admitted by the server and the services below it.
     std::optional<int> headroom; ///< Hibiscus-Headroom: requests that the server can run in addition.
+    std::optional<int> limit{}; ///< Hibiscus-Limit: requests that the server can run at a time.
     /** The daemon responded, even with a refusal; false for an attempt that was lost, unanswered or cancelled. */
     bool responded = true;
 };
