Bound what servers that send without end can hold of memory and time

Cause: a body of up to 16 MiB was buffered for each response, so twenty such servers' responses at once exceed the memory of a host; and responses to other requests, or 1xx ones, without end kept a request until its deadline.

One receive budget for a client: beyond 32 MiB in all, bodies over 128 KiB are given up; after eight responses to other requests the connection is. Heads, chunk sizes and trailers without end were bounded before (http_parser, 80 KiB).

Tests: endlessbytestest plays twelve kinds of endless bytes; two of them ran into the 30 s timeout without the change, as did nothing else.

--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -3,6 +3,7 @@
 #include "core/chronotime.h"
 #include "core/steadyclock.h"
 #include "http/endpoint.h"
+#include "http/receivebudget.h"
 #include "http/responseparser.h"
 
 #include <algorithm>
@@ -39,6 +40,8 @@
 /** Bytes that stay unacknowledged for this time end the connection, so that a host without power is noticed. */
 constexpr int kTcpUserTimeoutMillis = 3000;
 constexpr std::size_t kMaximumIdleConnections = 256;
+/** Late responses to earlier requests that are dropped before the connection is given up. */
+constexpr int kMaximumDroppedResponses = 8;
 
 std::string serializeRequest(const HostAddress &address, const HttpRequest &request)
 {
@@ -121,6 +124,7 @@
 
     asio::io_context &context;
     SteadyClock clock;
+    ReceiveBudget receiveBudget;
     mutable std::mutex mutex;
     std::unordered_map<HostAddress, std::vector<IdleConnection>> idle;
 };
@@ -150,6 +154,14 @@
         }
     }
 
+    ~Exchange() override
+    {
+        pool_->receiveBudget.release(accountedBytes_);
+    }
+
+    Exchange(const Exchange &) = delete;
+    Exchange &operator=(const Exchange &) = delete;
+
     void start()
     {
         if (!options_.freshConnection) {
@@ -253,6 +265,11 @@
     {
         const ResponseParser::State state = parser_->feed(bytes);
         if (state == ResponseParser::State::Incomplete) {
+            const std::size_t before = std::exchange(accountedBytes_, parser_->bodyBytes());
+            if (!pool_->receiveBudget.grow(before, accountedBytes_)) {
+                finish(tl::unexpected(TransportError::MalformedResponse));
+                return;
+            }
             read();
             return;
         }
@@ -277,6 +294,10 @@
         const std::string trailing = parser_->extractTrailingBytes();
         HttpResponse response = parser_->extractResponse();
         if (isForOtherRequest(response)) {
+            if (++droppedResponses_ > kMaximumDroppedResponses) {
+                finish(tl::unexpected(TransportError::MalformedResponse));
+                return;
+            }
             parser_ = std::make_unique<ResponseParser>(options_.maximumBodyBytes);
             trailing.empty() ? read() : feed(trailing);
             return;
@@ -313,6 +334,7 @@
         }
         done_ = true;
         timer_.cancel();
+        pool_->receiveBudget.release(std::exchange(accountedBytes_, 0));
         asio::error_code ignored;
         socket_.close(ignored);
         HttpCallback callback = std::move(callback_);
@@ -343,6 +365,8 @@
     std::string echoedValue_; ///< Value of HttpCallOptions::echoedField in the request.
     TransportError failure_ = TransportError::ConnectFailed;
     std::atomic<bool> written_{false};
+    std::size_t accountedBytes_ = 0; ///< Of the unfinished body in the receive budget.
+    int droppedResponses_ = 0; ///< Responses to earlier requests.
     bool hasReceivedBytes_ = false;
     bool done_ = false;
 };
@@ -370,6 +394,11 @@
     d_->idle.erase(address);
 }
 
+std::size_t HttpClient::receivedBytes() const
+{
+    return d_->receiveBudget.used();
+}
+
 std::size_t HttpClient::idleConnections() const
 {
     const std::lock_guard lock(d_->mutex);
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -68,6 +68,8 @@
     void closeIdle(const HostAddress &address);
     /** Number of open idle connections. */
     std::size_t idleConnections() const;
+    /** Bytes of the unfinished bodies that are being received. */
+    std::size_t receivedBytes() const;
 
 private:
     class Private;
--- a/src/http/responseparser.cpp
+++ b/src/http/responseparser.cpp
@@ -62,6 +62,11 @@
     return keepAlive_;
 }
 
+std::size_t ResponseParser::bodyBytes() const
+{
+    return response_.body.size();
+}
+
 std::string ResponseParser::extractTrailingBytes()
 {
     return std::exchange(trailingBytes_, {});
--- a/src/http/responseparser.h
+++ b/src/http/responseparser.h
@@ -32,6 +32,9 @@
     /** Handles the end of the connection, which completes a response without a stated length. */
     State finish();
     bool keepAlive() const;
+
+    /** Size of the body received so far. */
+    std::size_t bodyBytes() const;
     /** Bytes of the last feed() that follow the complete response. */
     std::string extractTrailingBytes();
     /** Idle timeout that the server states in its Keep-Alive field; empty if it states none. */
