Wait longer for changes of the configuration, and recheck it when a wait may be lost

The cheap watch of the directory notices an outage as well.

Now the configuration's watch waits for 25 s. The directory watcher lists the configuration once more after an outage, and when the store's revision has grown by more than the changes that it has seen. Ruled out for now: relays between daemons.

Test: storewatchertest, no recheck without cause, one after an outage or unseen changes.

--- a/src/discovery/autotests/storewatchertest.cpp
+++ b/src/discovery/autotests/storewatchertest.cpp
@@ -15,6 +15,7 @@
 {
 
 constexpr Millis kWatchTimeout{2000};
+constexpr const char *kRecheckedKind = "config";
 
 /** Store with scripted responses to watches; the first watch beyond the script ends the test. */
 class ScriptedStore : public ObjectStore
@@ -23,10 +24,15 @@
     std::vector<StoreResult<ChangeBatch>> watches;
     std::vector<Millis> waits;
     int listings = 0;
+    int rechecks = 0;
     std::promise<void> finished;
 
-    StoreResult<ObjectListing> listKind(const std::string &, ReadMode) override
+    StoreResult<ObjectListing> listKind(const std::string &kind, ReadMode) override
     {
+        if (kind == kRecheckedKind) {
+            ++rechecks;
+            return ObjectListing{};
+        }
         ++listings;
         return ObjectListing{{}, static_cast<std::uint64_t>(10 * listings)};
     }
@@ -78,6 +84,7 @@
 struct Observed {
     int listed = 0;
     int changed = 0;
+    int rechecked = 0;
     std::vector<bool> availability;
 };
 
@@ -86,10 +93,12 @@
 {
     asio::io_context context;
     Observed observed;
-    StoreWatcher watcher(context.get_executor(), store, {"servers", kWatchTimeout, Millis{0}},
+    StoreWatcher watcher(context.get_executor(), store,
+                         {"servers", kWatchTimeout, Millis{0}, ReadMode::Latest, kRecheckedKind},
                          {[&](const ObjectListing &) { ++observed.listed; },
                           [&](const ChangeBatch &) { ++observed.changed; },
-                          [&](bool available) { observed.availability.push_back(available); }});
+                          [&](bool available) { observed.availability.push_back(available); },
+                          [&](const ObjectListing &) { ++observed.rechecked; }});
     watcher.start();
     store.finished.get_future().wait();
     watcher.stop();
@@ -128,3 +137,29 @@
     CHECK(observed.listed == 2);
     CHECK(observed.changed == 1);
 }
+
+TEST_CASE("StoreWatcher: a kind that another watcher waits for is listed again after an outage and unseen changes")
+{
+    // Guards against a configuration that is adopted late because the long call that waits for it was lost.
+    const ChangeBatch nothing{{}, 10};
+    SUBCASE("nothing happened")
+    {
+        ScriptedStore store;
+        store.watches = {nothing, changeAt(11), ChangeBatch{{}, 11}};
+        CHECK(observe(store).rechecked == 0);
+    }
+    SUBCASE("changes of another kind")
+    {
+        ScriptedStore store;
+        store.watches = {ChangeBatch{{}, 11}, changeAt(12), changeAt(14)};
+        CHECK(observe(store).rechecked == 2);
+    }
+    SUBCASE("an outage")
+    {
+        ScriptedStore store;
+        store.watches = {nothing, tl::unexpected(StoreError::Unavailable), tl::unexpected(StoreError::Unavailable),
+                         nothing, nothing};
+        CHECK(observe(store).rechecked == 1);
+        CHECK(store.rechecks == 1);
+    }
+}
--- a/src/discovery/deploymentsync.cpp
+++ b/src/discovery/deploymentsync.cpp
@@ -15,9 +15,11 @@
 /** Changes that follow one another within this time are delivered in one batch. */
 constexpr Millis kDirectoryBatchInterval{100};
 constexpr Millis kConfigurationBatchInterval{20};
-/** A new configuration must be in force within 2 s, also after the store has been unresponsive. */
-constexpr Millis kConfigurationWatchTimeout{2000};
-constexpr Millis kDirectoryWatchTimeout{2500};
+/** Each call is charged, and changes of the configuration are rare. A call that is lost without a trace is made up for
+ * by the recheck of the directory watch. */
+constexpr Millis kConfigurationWatchTimeout{25000};
+/** Bounds the time until an outage of the store, or a configuration missed by its own watch, is noticed. */
+constexpr Millis kDirectoryWatchTimeout{2000};
 
 std::string kindOf(const std::string &key)
 {
@@ -51,12 +53,14 @@
                setStoreAvailable("configuration watch", isConfigurationWatchAvailable_, available);
            }})
     , directoryWatcher_(executor_, store,
-                        {kRegistrationKind, kDirectoryWatchTimeout, kDirectoryBatchInterval, ReadMode::MayBeStale},
+                        {kRegistrationKind, kDirectoryWatchTimeout, kDirectoryBatchInterval, ReadMode::MayBeStale,
+                         kindOf(settings_.configurationKey)},
                         {[this](const ObjectListing &listing) { handleServerListing(listing); },
                          [this](const ChangeBatch &batch) { handleServerChanges(batch); },
                          [this](bool available) {
                              setStoreAvailable("backend server watch", isDirectoryWatchAvailable_, available);
-                         }})
+                         },
+                         [this](const ObjectListing &listing) { handleConfigurationListing(listing); }})
     , exchangeTimer_(executor_)
 {
     for (const HostAddress &seed : settings_.seeds) {
@@ -128,6 +132,13 @@
     }
 }
 
+void DeploymentSync::withdrawAllOwn()
+{
+    for (const ServerName &name : ownEntries_) {
+        writer_.remove(name);
+    }
+}
+
 void DeploymentSync::announce()
 {
     exchange_.announce();
--- a/src/discovery/deploymentsync.h
+++ b/src/discovery/deploymentsync.h
@@ -57,6 +57,8 @@
     void withdraw(const ServerName &name, RegistrationWriter::Done done = nullptr);
     /** Removes the registrations of all former local servers from the store, except that of @p current. */
     void withdrawAllExcept(const ServerName &current);
+    /** Removes the registrations of all servers of this daemon from the store. */
+    void withdrawAllOwn();
     /** Exchanges with other daemons immediately, for instance after a crash. */
     void announce();
 
--- a/src/discovery/storewatcher.cpp
+++ b/src/discovery/storewatcher.cpp
@@ -56,8 +56,10 @@
         if (isStopping()) {
             return;
         }
+        needsRecheck_ = needsRecheck_ || !succeeded;
         setAvailable(succeeded);
         if (succeeded) {
+            recheckIfNeeded();
             backoff = kInitialBackoff;
             continue;
         }
@@ -87,6 +89,8 @@
         hasListing_ = batch.error() != StoreError::HistoryLost;
         return batch.error() == StoreError::HistoryLost;
     }
+    // Each change of the store raises its revision, so a larger step means that objects of other kinds changed.
+    needsRecheck_ = needsRecheck_ || batch->revision > revision_ + batch->changes.size();
     revision_ = std::max(revision_, batch->revision);
     if (!batch->changes.empty()) {
         asio::post(executor_, [this, batch = std::move(*batch)] { callbacks_.changesReceived(batch); });
@@ -95,6 +99,19 @@
     return true;
 }
 
+void StoreWatcher::recheckIfNeeded()
+{
+    if (!needsRecheck_ || settings_.recheckedKind.empty()) {
+        return;
+    }
+    StoreResult<ObjectListing> listing = store_.listKind(settings_.recheckedKind, ReadMode::Latest);
+    if (!listing) {
+        return;
+    }
+    needsRecheck_ = false;
+    asio::post(executor_, [this, listing = std::move(*listing)] { callbacks_.recheckReceived(listing); });
+}
+
 void StoreWatcher::setAvailable(bool available)
 {
     if (available_ == available) {
--- a/src/discovery/storewatcher.h
+++ b/src/discovery/storewatcher.h
@@ -22,6 +22,11 @@
     /** Changes that follow one another within this time are delivered in one batch, which costs less. */
     Millis batchInterval;
     ReadMode mode = ReadMode::Latest;
+    /**
+     * Kind that another watcher waits for in longer calls; empty for none. It is listed once more when such a call may
+     * have been lost: after an outage, and after changes of the store that this watcher doesn't see.
+     */
+    std::string recheckedKind{};
 };
 
 /**
@@ -37,6 +42,8 @@
         std::function<void(const ObjectListing &)> listingReceived;
         std::function<void(const ChangeBatch &)> changesReceived;
         std::function<void(bool available)> availabilityChanged;
+        /** Listing of the rechecked kind; not called without one. */
+        std::function<void(const ObjectListing &)> recheckReceived{};
     };
 
     StoreWatcher(asio::any_io_executor executor, ObjectStore &store, StoreWatcherSettings settings,
@@ -54,6 +61,7 @@
     bool list();
     bool watch();
     void setAvailable(bool available);
+    void recheckIfNeeded();
     /** Returns early with false if the watcher is stopping. */
     bool sleepFor(Millis duration);
     bool isStopping();
@@ -68,6 +76,7 @@
     bool stopping_ = false;
     bool available_ = true;
     bool hasListing_ = false;
+    bool needsRecheck_ = false;
     std::uint64_t revision_ = 0;
 };
 
