Leave servers that turn slow or fail, and tell by their own work

The daemon beside a server compares its own service time with the usual one for the same kind of request, and counts what the server fails without a failed call below; responses report both when they are notable. What stays with such a server shows its recovery. Ruled out: durations as the caller sees them, which the calls below dominate.

--- a/src/daemon/callattempts.cpp
+++ b/src/daemon/callattempts.cpp
@@ -18,6 +18,7 @@
 /** Time for which ServerGateway awaits a non-repeatable attempt after its deadline. */
 constexpr Millis kNonRepeatableGrace{10000};
 constexpr int kFirstServerErrorStatus = 500;
+constexpr double kPercent = 100;
 
 std::unique_ptr<AttemptPolicy> makePolicy(const CallRequest &call)
 {
@@ -266,6 +267,8 @@
     feedback.limit = result.limit;
     feedback.responded = result.headroom.has_value();
     if (result.level) {
+    feedback.slowdown = result.slowdownPercent.value_or(kPercent) / kPercent;
+    feedback.failingShare = result.failingPercent.value_or(0) / kPercent;
         feedback.level = Level{*result.level};
     }
     const TimePoint now = services_.clock.now();
--- a/src/daemon/callhandler.cpp
+++ b/src/daemon/callhandler.cpp
@@ -33,6 +33,8 @@
     result.subtreeLevel.reset();
     result.headroom.reset();
     result.limit.reset();
+    result.slowdownPercent.reset();
+    result.failingPercent.reset();
     return encodeResult(std::move(result));
 }
 
--- a/src/daemon/callmessage.cpp
+++ b/src/daemon/callmessage.cpp
@@ -211,6 +211,8 @@
     setOptional(response.headers, HeaderName::kSubtreeLevel, result.subtreeLevel);
     setOptional(response.headers, HeaderName::kHeadroom, result.headroom);
     setOptional(response.headers, HeaderName::kLimit, result.limit);
+    setOptional(response.headers, HeaderName::kSlowdown, result.slowdownPercent);
+    setOptional(response.headers, HeaderName::kFailing, result.failingPercent);
     if (result.incarnation) {
         response.headers.set(HeaderName::kIncarnation, std::to_string(result.incarnation->value()));
     }
@@ -228,6 +230,8 @@
     result.subtreeLevel = parseNumber<int>(response.headers.find(HeaderName::kSubtreeLevel));
     result.headroom = parseNumber<int>(response.headers.find(HeaderName::kHeadroom));
     result.limit = parseNumber<int>(response.headers.find(HeaderName::kLimit));
+    result.slowdownPercent = parseNumber<int>(response.headers.find(HeaderName::kSlowdown));
+    result.failingPercent = parseNumber<int>(response.headers.find(HeaderName::kFailing));
     if (const auto incarnation = parseNumber<std::uint64_t>(response.headers.find(HeaderName::kIncarnation))) {
         result.incarnation = Incarnation(*incarnation);
     }
--- a/src/daemon/callrequest.h
+++ b/src/daemon/callrequest.h
@@ -69,6 +69,8 @@
     std::optional<int> subtreeLevel; ///< Lowest level that the daemons of all calls below this one admit.
     std::optional<int> headroom; ///< Free capacity at the executing daemon.
     std::optional<int> limit; ///< Requests that the server of the executing daemon can run at a time.
+    std::optional<int> slowdownPercent; ///< Own service time of that server in % of the usual; empty if not slow.
+    std::optional<int> failingPercent; ///< Share of the requests that it fails by itself; empty if it hardly fails.
     std::optional<Incarnation> incarnation; ///< Of the daemon that refused an attempt addressed to an earlier process.
     std::optional<Millis> retryAfter; ///< Time after which a refused call is worth sending again.
 
--- a/src/daemon/callscopetable.cpp
+++ b/src/daemon/callscopetable.cpp
@@ -5,6 +5,13 @@
 namespace Hibiscus
 {
 
+namespace
+{
+
+constexpr int kFirstServerErrorStatus = 500;
+
+} // namespace
+
 CallScopeTable::CallScopeTable(const Clock &clock)
     : clock_(clock)
 {
@@ -54,6 +61,9 @@
     if (result.response) {
         ++entry.completed[child.key];
     }
+    if (!result.response || result.response->status >= kFirstServerErrorStatus) {
+        entry.summary.childFailed = true;
+    }
     if (!repeatable && result.outcome() != Outcome::NotRun) {
         entry.summary.nonRepeatableMayHaveRun = true;
     }
@@ -93,6 +103,7 @@
     summary.spent = entry.scope.attemptBudget.spent();
     if (entry.outstanding > 0) {
         summary.waitingForChildren = summary.waitingForChildren + (clock_.now() - entry.waitingSince);
+        summary.childFailed = true;
         // The outcome of the outstanding calls is not known yet.
         summary.nonRepeatableMayHaveRun = true;
     }
--- a/src/daemon/callscopetable.h
+++ b/src/daemon/callscopetable.h
@@ -43,6 +43,7 @@
     int spent = 0; ///< Attempts below the attempt.
     Millis waitingForChildren; ///< Time during which at least one call was outstanding.
     int subtreeLevel = 0; ///< Highest admission level that these calls reported.
+    bool childFailed = false; ///< Whether a call below the attempt failed or is still outstanding.
     bool nonRepeatableMayHaveRun = false; ///< Whether a non-repeatable call below the attempt may have run.
 };
 
--- a/src/daemon/servergateway.cpp
+++ b/src/daemon/servergateway.cpp
@@ -16,6 +16,12 @@
  * response instead of an unknown outcome.
  */
 constexpr Millis kNonRepeatableGrace{10000};
+constexpr int kFirstServerErrorStatus = 500;
+constexpr int kStatusGatewayTimeout = 504;
+constexpr double kPercent = 100;
+/** Lower values are not reported, which saves bytes. */
+constexpr int kReportedSlowdownPercent = 140;
+constexpr int kReportedFailingPercent = 3;
 
 TicketId ticketOf(AttemptId attempt)
 {
@@ -155,6 +161,9 @@
 {
     const std::lock_guard lock(mutex_);
     return queued_.size() + running_.size();
+    if (healthy) {
+        tables_.quality.with([](ServerQuality &quality) { quality.reset(); });
+    }
 }
 
 void ServerGateway::applyDispatch(const Dispatch &dispatch)
@@ -305,6 +314,8 @@
         logEvent(LogEvent::AttemptFailed, "",
                  {{"request", call.requestId},
                   {"server", pending->message.server.value()},
+    recordQuality(call, result, sample, summary);
+
                   {"kind", errorResponseFor(result.response.error()).name},
                   {"cancelled", pending->cancelled ? 1 : 0},
                   {"atServerMs", sample.total}});
@@ -320,6 +331,24 @@
     result.spent = summary.spent;
     result.subtreeLevel = summary.subtreeLevel;
     if (!response) {
+void ServerGateway::recordQuality(const CallRequest &call, const CallResult &result, const ServiceSample &sample,
+                                  const ScopeSummary &summary)
+{
+    const bool hasResponse = result.response.has_value();
+    if (!hasResponse && saysNothingAboutServer(result.response.error())) {
+        return;
+    }
+    const bool isServerError = hasResponse && result.response->status >= kFirstServerErrorStatus
+        && result.response->status != kStatusGatewayTimeout;
+    const bool failed = !hasResponse || (isServerError && !summary.childFailed);
+    tables_.quality.with([&](ServerQuality &quality) {
+        if (hasResponse) {
+            quality.recordTime(ownTimeKey(call), sample.ownTime());
+        }
+        quality.recordResult(failed);
+    });
+}
+
         result.response = tl::unexpected(pending->cancelled ? ErrorKind::Cancelled
                                                             : errorKindOf(response.error(), pending->message.call));
         return result;
@@ -393,3 +422,18 @@
 }
 
 } // namespace Hibiscus
+    addQuality(result);
+void ServerGateway::addQuality(CallResult &result) const
+{
+    const auto [slowdown, failing] = tables_.quality.with([](const ServerQuality &quality) {
+        return std::pair(static_cast<int>(quality.slowdown() * kPercent),
+                         static_cast<int>(quality.failingShare() * kPercent));
+    });
+    if (slowdown >= kReportedSlowdownPercent) {
+        result.slowdownPercent = slowdown;
+    }
+    if (failing >= kReportedFailingPercent) {
+        result.failingPercent = failing;
+    }
+}
+
--- a/src/daemon/sharedtables.h
+++ b/src/daemon/sharedtables.h
@@ -8,6 +8,7 @@
 #include "daemon/guarded.h"
 #include "daemon/latencytracker.h"
 #include "daemon/metrics.h"
+#include "daemon/serverquality.h"
 #include "execution/arbiter.h"
 #include "execution/attempttable.h"
 #include "quarantine/crashledger.h"
@@ -44,6 +45,7 @@
     Guarded<CrashLedger> crashes;
     Guarded<SuspectSlot> suspects;
     Guarded<LatencyTracker> callLatency; ///< Duration of attempts as their coordinators see it, by durationKey().
+    Guarded<ServerQuality> quality; ///< Of the local backend server.
     Guarded<LatencyTracker> ownTime; ///< Own service time by route, or by class for calls without one.
     Metrics metrics;
 };
--- a/src/routing/autotests/placementmodel.h
+++ b/src/routing/autotests/placementmodel.h
@@ -32,10 +32,14 @@
     }
 };
 
+/** Usual mean service time, in ms. */
+inline constexpr double kServiceTime = 20;
+
 /** A server with a queue behind its daemon's gate. */
 struct ModelServer {
     int slots = 20;
-    double serviceTime = 20; ///< Mean, in ms.
+    double serviceTime = kServiceTime; ///< Mean, in ms.
+    double failingShare = 0; ///< Of the requests that it has run.
     bool present = true;
     int running = 0;
     std::deque<std::function<void()>> queue;
@@ -189,7 +193,7 @@
                     ended.queue.pop_front();
                     next();
                 }
-                done(true);
+                done(random.fraction() >= ended.failingShare);
             });
         };
         if (server.running < server.slots) {
@@ -205,6 +209,8 @@
         AttemptFeedback feedback;
         feedback.headroom = server.slots - server.running;
         feedback.limit = server.slots;
+        feedback.slowdown = server.serviceTime / kServiceTime;
+        feedback.failingShare = server.failingShare;
         balancers.at(daemon)->finished(serverName(index), feedback);
         DomainResult &result = results_.at(static_cast<std::size_t>(domain));
         if (!isCompleted) {
--- a/src/routing/autotests/placementtest.cpp
+++ b/src/routing/autotests/placementtest.cpp
@@ -12,8 +12,8 @@
 constexpr double kCalm = 450;
 constexpr Millis kDuration{10000};
 
-/** Mean duration in one common queue for all servers: the service time and hardly any wait. */
-constexpr double kAloneDuration = 20;
+/** Mean duration without any wait. */
+constexpr double kAloneDuration = kServiceTime;
 
 } // namespace
 
@@ -95,3 +95,29 @@
     }
     CHECK(model.play(kDuration, {kCalm, kCalm, kCalm, kCalm})[0].leftShare() < 0.05);
 }
+
+TEST_CASE("Placement: a server that turns five times slower is left by most, and the others still answer in time")
+{
+    // Guards against callers that wait for their own domain's slow server although others are fast and have room.
+    PlacementModel model;
+    model.servers[0].serviceTime = 5 * kServiceTime;
+    const std::vector<double> light(PlacementModel::kDomains, 150);
+    model.play(Millis{1000}, light);
+    const auto results = model.play(kDuration, light);
+    CHECK(results[0].leftShare() > 0.8);
+    CHECK(results[0].meanDuration() < 2 * kAloneDuration);
+    model.servers[0].serviceTime = kServiceTime;
+    model.play(Millis{1000}, light);
+    CHECK(model.play(kDuration, light)[0].leftShare() < 0.05);
+}
+
+TEST_CASE("Placement: a server that fails part of its requests is left by most")
+{
+    // Guards against a loss that each domain has to bear alone while the servers of others are sound.
+    PlacementModel model;
+    model.servers[0].failingShare = 0.45;
+    model.play(Millis{1000}, {kCalm, kCalm, kCalm, kCalm});
+    const auto results = model.play(kDuration, {kCalm, kCalm, kCalm, kCalm});
+    CHECK(results[0].refused < 0.06 * results[0].sent);
+    CHECK(results[1].meanDuration() < 1.5 * kAloneDuration);
+}
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -17,6 +17,10 @@
 constexpr double kInitialWeight = 0.1;
 // Above 0, so that the scores of servers without headroom can still be compared with each other.
 constexpr double kMinimumHeadroom = 0.5;
+/** Bound of the advantage that a server gets from requests that happened to be short. */
+constexpr double kMinimumSlowdown = 1;
+/** Bound of the factor on the score of a server that is slow or fails. */
+constexpr double kMinimumQuality = 1.0 / 32;
 constexpr int kFailuresToEject = 2;
 constexpr Millis kInitialBackoff{500};
 constexpr Millis kMaximumBackoff{8000};
@@ -108,6 +112,8 @@
         record->busyShare = busyShare(*feedback.headroom, feedback.limit);
         record->headroomAt = clock_.now();
     }
+        record->slowdown = std::max(feedback.slowdown, kMinimumSlowdown);
+        record->failingShare = feedback.failingShare;
     if (feedback.responded) {
         record->respondedAt = clock_.now();
         record->connectFailures = 0;
@@ -231,7 +237,8 @@
 double Balancer::score(const Record &record, bool useHeadroom) const
 {
     const double headroom = useHeadroom ? std::max<double>(*record.headroom, kMinimumHeadroom) : 1;
-    return (record.inFlight + 1) / (headroom * warmth(record));
+    const double quality = useHeadroom ? (1 - record.failingShare) / record.slowdown : 1;
+    return (record.inFlight + 1) / (headroom * warmth(record) * std::max(quality, kMinimumQuality));
 }
 
 /** Share of the usual load for a server, which rises during the slow start. */
@@ -243,7 +250,10 @@
 
 ServerCondition Balancer::condition(const Record &record) const
 {
-    return {hasCurrentHeadroom(record) ? record.busyShare : 0, warmth(record)};
+    if (!hasCurrentHeadroom(record)) {
+        return {.warmth = warmth(record)};
+    }
+    return {record.busyShare, warmth(record), record.slowdown, record.failingShare};
 }
 
 bool Balancer::leavesDomain(const Candidate &own, const Candidate &other)
--- a/src/routing/balancer.h
+++ b/src/routing/balancer.h
@@ -78,6 +78,8 @@
         int connectFailures = 0; ///< Consecutive.
         bool ejected = false;
         Millis backoff;
+        double slowdown = 1; ///< Reported along with the headroom.
+        double failingShare = 0; ///< Reported along with the headroom.
         TimePoint probeAt; ///< Earliest time of the next probe of an ejected server.
         bool probing = false;
     };
--- a/src/routing/serverview.h
+++ b/src/routing/serverview.h
@@ -27,6 +27,8 @@
     std::optional<int> limit{}; ///< Hibiscus-Limit: requests that the server can run at a time.
     /** The daemon responded, even with a refusal; false for an attempt that was lost, unanswered or cancelled. */
     bool responded = true;
+    double slowdown = 1; ///< Hibiscus-Slowdown: own service time of the server as a multiple of the usual one.
+    double failingShare = 0; ///< Hibiscus-Failing: share of the requests that the server fails by itself.
 };
 
 } // namespace Hibiscus
