Take a server for cold only if it says so, not after a restart of its daemon

Cause: a daemon that meets its server for the first time assumed a cold start: half the slots, rising over 10 s; and balancers gave the server of a restarted daemon a tenth of its load, rising over 10 s.

Now check-ins carry the time for which the server remains slow, and the slow start of a balancer follows the start of the server's process.

Tests: concurrencylimittest and balancertest, one case each that fails without the change. The test of the slow start gave a new incarnation, which is a restart of the daemon; it now stands for a new process of the server as well, with the same bounds.

--- a/src/admission/admissioncontroller.cpp
+++ b/src/admission/admissioncontroller.cpp
@@ -126,9 +126,9 @@
     return dispatch;
 }
 
-void AdmissionController::serverStarted()
+void AdmissionController::serverStarted(Millis coldStart)
 {
-    limit_.beginColdStart(clock_.now());
+    limit_.beginColdStart(clock_.now(), coldStart);
 }
 
 void AdmissionController::configure(const AdmissionSettings &settings)
--- a/src/admission/admissioncontroller.h
+++ b/src/admission/admissioncontroller.h
@@ -66,8 +66,8 @@
     /** An unhealthy server gets no work: arrivals and the queued tickets are refused as Unreachable. */
     Dispatch setServerHealthy(bool healthy);
 
-    /** The backend server process was restarted: the limit begins at half the slots and rises over 10 s. */
-    void serverStarted();
+    /** The backend server process was restarted: the limit begins at half the slots and rises over @p coldStart. */
+    void serverStarted(Millis coldStart = ConcurrencyLimit::kDefaultColdStart);
 
     /** Applies a changed number of slots or classes. Queued and running tickets are kept. */
     void configure(const AdmissionSettings &settings);
--- a/src/admission/autotests/concurrencylimittest.cpp
+++ b/src/admission/autotests/concurrencylimittest.cpp
@@ -115,6 +115,17 @@
     CHECK(server.limit.value() == kSlots);
 }
 
+TEST_CASE("ConcurrencyLimit: a cold start ends when the server says that it does")
+{
+    // Guards against a server that is held at half its slots although it works at full speed again.
+    SaturatedServer server;
+    server.run(5000, twentyMs);
+    server.limit.beginColdStart(server.now, Millis{2000});
+    CHECK(server.limit.value() == kSlots / 2);
+    server.run(2500, twentyMs);
+    CHECK(server.limit.value() == kSlots);
+}
+
 TEST_CASE("ConcurrencyLimit: no sequence of samples takes it out of its bounds")
 {
     // Guards against a limit of 0, which would stop all work for good, and one above the slots.
--- a/src/admission/concurrencylimit.cpp
+++ b/src/admission/concurrencylimit.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-constexpr Millis kColdStart{10000};
+constexpr Millis kShortestColdStart{1};
 // Own service time above this multiple of its long-term minimum is taken as a sign of overload.
 constexpr double kSlowFactor = 2;
 // Shorter own service times are mostly loopback and scheduling noise, in ms.
@@ -78,9 +78,10 @@
     limit_ = unrestricted ? slots_ : std::min<double>(limit_, slots_);
 }
 
-void ConcurrencyLimit::beginColdStart(TimePoint now)
+void ConcurrencyLimit::beginColdStart(TimePoint now, Millis length)
 {
     coldStartedAt_ = now;
+    coldStart_ = std::max(length, kShortestColdStart);
     limit_ = maxLimit(now);
     trial_.reset();
     resetOwnTime(now);
@@ -101,7 +102,7 @@
 
 void ConcurrencyLimit::closeWindow(TimePoint now, int peakInFlight)
 {
-    if (coldStartedAt_ && now - *coldStartedAt_ >= kColdStart) {
+    if (coldStartedAt_ && now - *coldStartedAt_ >= coldStart_) {
         coldStartedAt_.reset();
         resetOwnTime(now);
     }
@@ -136,7 +137,7 @@
     if (!coldStartedAt_) {
         return slots_;
     }
-    const double warm = std::clamp((now - *coldStartedAt_).value / kColdStart.value, 0.0, 1.0);
+    const double warm = std::clamp((now - *coldStartedAt_).value / coldStart_.value, 0.0, 1.0);
     return std::max(1.0, slots_ * (0.5 + 0.5 * warm));
 }
 
--- a/src/admission/concurrencylimit.h
+++ b/src/admission/concurrencylimit.h
@@ -27,8 +27,12 @@
 
     void setSlots(int slots);
 
-    /** Begins a cold start: half the slots, rising to all of them over 10 s. Measured service times are discarded. */
-    void beginColdStart(TimePoint now);
+    /** Time for which a server counts as cold after its start, unless it says how long it will be. */
+    static constexpr Millis kDefaultColdStart{10000};
+
+    /** Begins a cold start: half the slots, rising to all of them over @p length. Measured service times are discarded.
+     */
+    void beginColdStart(TimePoint now, Millis length = kDefaultColdStart);
 
     /** Records the sample of a request that ended while @p othersInFlight other requests ran. */
     void record(const ServiceSample &sample, int othersInFlight);
@@ -63,6 +67,7 @@
     double limit_;
     double raiseShare_; ///< Part of the slots by which the next window raises the limit.
     std::optional<TimePoint> coldStartedAt_;
+    Millis coldStart_ = kDefaultColdStart; ///< Length of the cold start.
     std::optional<double> limitBeforeShed_; ///< Set if the server shed load in the open window.
     std::optional<Trial> trial_;
     int failedTrials_ = 0; ///< Consecutive.
--- a/src/daemon/servergateway.cpp
+++ b/src/daemon/servergateway.cpp
@@ -147,11 +147,11 @@
     }
 }
 
-void ServerGateway::setServerHealthy(bool healthy)
+void ServerGateway::setServerHealthy(bool healthy, Millis coldStart)
 {
-    applyDispatch(tables_.admission.with([healthy](AdmissionController &admission) {
-        if (healthy) {
-            admission.serverStarted();
+    applyDispatch(tables_.admission.with([healthy, coldStart](AdmissionController &admission) {
+        if (healthy && coldStart > Millis{0}) {
+            admission.serverStarted(coldStart);
         }
         return admission.setServerHealthy(healthy);
     }));
--- a/src/daemon/servergateway.h
+++ b/src/daemon/servergateway.h
@@ -40,8 +40,9 @@
     /** Number of attempts that are queued or running. */
     std::size_t inFlight() const;
 
-    /** Tells the admission control that the backend server came up or went down. */
-    void setServerHealthy(bool healthy);
+    /** Tells the admission control that the backend server came up or went down. A server that came up is cold for
+     * @p coldStart; none if it was only unknown to this process. */
+    void setServerHealthy(bool healthy, Millis coldStart = ConcurrencyLimit::kDefaultColdStart);
 
 private:
     /** An attempt from its arrival until its end. */
--- a/src/directory/checkin.h
+++ b/src/directory/checkin.h
@@ -1,6 +1,7 @@
 #ifndef HIBISCUS_DIRECTORY_CHECKIN_H
 #define HIBISCUS_DIRECTORY_CHECKIN_H
 
+#include "core/millis.h"
 #include "directory/serverregistration.h"
 
 namespace Hibiscus
@@ -16,6 +17,7 @@
     std::uint64_t sequence = 0; ///< Increases with each check-in of one process of the server.
     int slots = 1; ///< Requests that the server processes at a time.
     ServerState state = ServerState::Ready;
+    Millis coldLeft{}; ///< Time for which the server remains slow after its start.
 };
 
 } // namespace Hibiscus
--- a/src/mesh/meshdaemon.cpp
+++ b/src/mesh/meshdaemon.cpp
@@ -64,6 +64,8 @@
     void updateRoutingTable();
     void logServer() const;
     void serverChanged(CheckInResult result);
+    void withdrawLostServer();
+    Millis coldLeft() const;
     void configureAdmission();
     bool isReady() const;
     void drain();
@@ -157,7 +159,7 @@
           std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
               .count())
 {
-    health.setCallbacks([this](bool healthy) { gateway.setServerHealthy(healthy); },
+    health.setCallbacks([this](bool healthy) { gateway.setServerHealthy(healthy, coldLeft()); },
                         [this](const std::vector<Signature> &inFlight) { onCrash(inFlight); });
 }
 
@@ -238,8 +240,8 @@
     RoutingTable::Services byService;
     for (const auto &[name, entry] : deployment.directory().entries()) {
         const ServerRegistration &server = entry.registration;
-        byService[server.service].push_back(
-            {name, server.daemon, server.incarnation, server.domain, server.state != ServerState::Ready});
+        byService[server.service].push_back({name, server.daemon, server.incarnation, server.domain,
+                                             server.state != ServerState::Ready, server.startedAt});
     }
     const auto daemons = static_cast<double>(std::max<std::size_t>(1, deployment.directory().entries().size()));
     const RetryBudgetSettings &budget = settings.retryBudget;
@@ -300,6 +302,13 @@
     drainStarted = clock.now();
     logEvent(LogEvent::DaemonDraining, settings.host);
     calls.drain();
+/** Time for which the local server remains slow. A server that this process meets for the first time may have been
+ * running for long, so it is asked rather than assumed. */
+Millis MeshDaemon::Private::coldLeft() const
+{
+    return localServer.current() ? localServer.current()->coldLeft : Millis{0};
+}
+
     timers.repeat(kDrainTick, [this] {
         const Millis elapsed = clock.now() - drainStarted;
         if (!detached && elapsed >= kDetachDelay) {
--- a/src/routing/autotests/balancertest.cpp
+++ b/src/routing/autotests/balancertest.cpp
@@ -21,8 +21,12 @@
 
 ServerView viewOf(int number, std::uint64_t incarnation = 1, bool draining = false)
 {
-    return {nameOf(number), HostAddress(), Incarnation(incarnation), FailureDomainName(number < 3 ? "own" : "other"),
-            draining};
+    return {nameOf(number),
+            HostAddress(),
+            Incarnation(incarnation),
+            FailureDomainName(number < 3 ? "own" : "other"),
+            draining,
+            static_cast<std::int64_t>(incarnation)};
 }
 
 /** Expected state of one server. */
@@ -308,3 +312,29 @@
     CHECK(fixture.balancer.timeSinceResponse(nameOf(1)) == Millis{500});
     CHECK(fixture.balancer.timeSinceResponse(nameOf(4)) == Millis{0});
 }
+
+TEST_CASE("Balancer: a restart of the daemon alone does not make its server start slowly")
+{
+    // Guards against a rolling restart of the daemons that takes most of the load off each warm server for 10 s.
+    Fixture fixture(2);
+    fixture.clock.advance(Millis{20000});
+    fixture.views[1].incarnation = Incarnation(2);
+    fixture.balancer.update(fixture.views);
+    const std::vector<int> picks = fixture.picks(400);
+    CHECK(picks[1] > 150);
+}
+
+TEST_CASE("Balancer: a server that its daemon does not know is probed every 250 ms until it is known")
+{
+    // Guards against attempts on a server that is lost, and against a long back-off for one that reports itself soon.
+    Fixture fixture(2);
+    for (int round = 0; round < 5; ++round) {
+        fixture.balancer.started(nameOf(0));
+        fixture.balancer.serverMissing(nameOf(0));
+        CHECK(fixture.picks(20)[0] == 0);
+        fixture.clock.advance(Millis{250});
+        CHECK(fixture.picks(1)[0] == 1);
+    }
+    fixture.attempt(0, {});
+    CHECK_FALSE(fixture.balancer.isEjected(nameOf(0)));
+}
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -202,7 +202,14 @@
     Record record;
     record.inFlight = inFlight(name);
     record.firstSeenAt = clock_.now();
-    record.respondedAt = record.firstSeenAt;
+    record.respondedAt = clock_.now();
+    const ServerView *view = servers_.find(name);
+    record.serverStartedAt = view ? view->startedAt : 0;
+    const auto known = records_.find(name);
+    if (known != records_.end() && known->second.serverStartedAt == record.serverStartedAt) {
+        // Only the daemon was restarted, so the server is as warm as before.
+        record.firstSeenAt = known->second.firstSeenAt;
+    }
     records_.insert_or_assign(name, record);
     levels_.remove(name);
 }
--- a/src/routing/balancer.h
+++ b/src/routing/balancer.h
@@ -70,7 +70,8 @@
     /** State of a server, kept while it is known or has attempts in flight. */
     struct Record {
         int inFlight = 0;
-        TimePoint firstSeenAt; ///< When this incarnation was first seen.
+        std::int64_t serverStartedAt = 0;
+        TimePoint firstSeenAt; ///< When this process of the server was first seen.
         TimePoint respondedAt; ///< Time of the last response; firstSeenAt until there is one.
         std::optional<int> headroom;
         double busyShare = 0; ///< Of the limit reported along with the headroom.
--- a/src/routing/serverview.h
+++ b/src/routing/serverview.h
@@ -4,6 +4,7 @@
 #include "admission/level.h"
 #include "core/ids.h"
 
+#include <cstdint>
 #include <optional>
 
 namespace Hibiscus
@@ -16,6 +17,7 @@
     Incarnation incarnation;
     FailureDomainName domain;
     bool draining = false;
+    std::int64_t startedAt = 0; ///< Start of the server's process, which outlasts restarts of its daemon.
 
     friend bool operator==(const ServerView &, const ServerView &) = default;
 };
@@ -25,10 +27,10 @@
     std::optional<Level> level; ///< Hibiscus-Level: lowest level admitted by the server and the services below it.
     std::optional<int> headroom; ///< Hibiscus-Headroom: requests that the server can run in addition.
     std::optional<int> limit{}; ///< Hibiscus-Limit: requests that the server can run at a time.
-    /** The daemon responded, even with a refusal; false for an attempt that was lost, unanswered or cancelled. */
-    bool responded = true;
     double slowdown = 1; ///< Hibiscus-Slowdown: own service time of the server as a multiple of the usual one.
     double failingShare = 0; ///< Hibiscus-Failing: share of the requests that the server fails by itself.
+    /** The daemon responded, even with a refusal; false for an attempt that was lost, unanswered or cancelled. */
+    bool responded = true;
 };
 
 } // namespace Hibiscus
