Rest servers that their daemon does not know, and withdraw lost ones

Such a server now rests for 250 ms at a time, which is well below the heartbeat after which a restarted daemon knows its server. A daemon whose server has refused connections for 10 s withdraws its entries; a server that is only silent or slow accepts connections and keeps them.

--- a/src/daemon/callattempts.cpp
+++ b/src/daemon/callattempts.cpp
@@ -162,8 +162,7 @@
         return;
     }
     sendRemote(attempt, message);
-    attempt->watch = makeWatch(attempt);
-    attempt->watch->start();
+    startWatch(attempt);
 }
 
 void CallAttempts::sendRemote(const AttemptPtr &attempt, const CallMessage &message)
@@ -190,11 +189,10 @@
                               });
 }
 
-std::shared_ptr<OutcomeWatch> CallAttempts::makeWatch(const AttemptPtr &attempt)
+void CallAttempts::startWatch(const AttemptPtr &attempt)
 {
     const WatchedAttempt watched{attempt->id,         attempt->server,   attempt->started, call_.service,
                                  call_.durationKey(), outcomeDeadline(), call_.repeatable};
-    // These callbacks refer to the attempt that owns the watch; stop() in endAttempt() breaks the cycle.
     OutcomeWatch::Callbacks callbacks;
     callbacks.isConnected = [attempt] { return attempt->connection != nullptr; };
     callbacks.ended = [self = shared_from_this(), attempt](CallResult result) {
@@ -204,7 +202,9 @@
         self->endAttempt(attempt, failedResult(ErrorKind::ConnectionLost), false);
         self->handleFailure(ErrorKind::ConnectionLost, true);
     };
-    return std::make_shared<OutcomeWatch>(services_, strand_, watched, std::move(callbacks));
+    const auto watch = std::make_shared<OutcomeWatch>(services_, strand_, watched, std::move(callbacks));
+    attempt->watch = watch;
+    watch->start();
 }
 
 void CallAttempts::onTransportError(const AttemptPtr &attempt, TransportError error)
@@ -217,7 +217,9 @@
         handleFailure(ErrorKind::Unreachable, true);
         return;
     }
-    attempt->watch->query();
+    if (const auto watch = attempt->watch.lock()) {
+        watch->query();
+    }
 }
 
 void CallAttempts::onResult(const AttemptPtr &attempt, CallResult result)
@@ -253,8 +255,8 @@
 void CallAttempts::endAttempt(const AttemptPtr &attempt, const CallResult &result, bool connected)
 {
     attempt->ended = true;
-    if (attempt->watch) {
-        attempt->watch->stop();
+    if (const auto watch = attempt->watch.lock()) {
+        watch->stop();
     }
     if (attempt->connection) {
         attempt->connection->cancel();
@@ -265,16 +267,21 @@
     AttemptFeedback feedback;
     feedback.headroom = result.headroom;
     feedback.limit = result.limit;
-    feedback.responded = result.headroom.has_value();
-    if (result.level) {
     feedback.slowdown = result.slowdownPercent.value_or(kPercent) / kPercent;
     feedback.failingShare = result.failingPercent.value_or(0) / kPercent;
+    feedback.responded = result.headroom.has_value();
+    if (result.level) {
         feedback.level = Level{*result.level};
     }
     const TimePoint now = services_.clock.now();
     // A daemon whose backend server is down responds at once, and its short queue would attract calls.
     const bool isServerDown = !result.response && result.response.error() == ErrorKind::Unreachable;
+    const bool isServerMissing = !result.response && result.response.error() == ErrorKind::Misdirected;
     services_.routing.with([&](RoutingTable &routing) {
+        if (isServerMissing) {
+            routing.serverMissing(call_.service, attempt->server.name);
+            return;
+        }
         if (!connected || isServerDown) {
             routing.connectFailed(call_.service, attempt->server.name);
             return;
--- a/src/daemon/callattempts.h
+++ b/src/daemon/callattempts.h
@@ -40,7 +40,9 @@
         int granted = 0; ///< Attempts that the calls below this attempt may use.
         TimePoint started;
         std::shared_ptr<HttpCall> connection; ///< Null for the local server, or once the connection is lost.
-        std::shared_ptr<OutcomeWatch> watch; ///< Null for the local server.
+        /** Empty for the local server. Weak, since the callbacks of the watch refer to the attempt; until it is
+         * stopped, its own timer or query keeps it. */
+        std::weak_ptr<OutcomeWatch> watch;
         bool ended = false;
     };
     using AttemptPtr = std::shared_ptr<Attempt>;
@@ -51,7 +53,7 @@
     void beginAttempt();
     void send(const AttemptPtr &attempt);
     void sendRemote(const AttemptPtr &attempt, const CallMessage &message);
-    std::shared_ptr<OutcomeWatch> makeWatch(const AttemptPtr &attempt);
+    void startWatch(const AttemptPtr &attempt);
     void onTransportError(const AttemptPtr &attempt, TransportError error);
     void onResult(const AttemptPtr &attempt, CallResult result);
     void endAttempt(const AttemptPtr &attempt, const CallResult &result, bool connected);
--- a/src/daemon/routingtable.cpp
+++ b/src/daemon/routingtable.cpp
@@ -78,6 +78,11 @@
     entry(service).balancer->connectFailed(server);
 }
 
+void RoutingTable::serverMissing(const ServiceName &service, const ServerName &server)
+{
+    entry(service).balancer->serverMissing(server);
+}
+
 void RoutingTable::setIncarnation(const ServiceName &service, const ServerName &server, Incarnation incarnation)
 {
     entry(service).balancer->setIncarnation(server, incarnation);
--- a/src/daemon/routingtable.h
+++ b/src/daemon/routingtable.h
@@ -33,6 +33,7 @@
     /** Time since the daemon beside @p server last responded to any call to @p service. */
     Millis silence(const ServiceName &service, const ServerName &server);
     void connectFailed(const ServiceName &service, const ServerName &server);
+    void serverMissing(const ServiceName &service, const ServerName &server);
     /** The daemon beside @p server was restarted. */
     void setIncarnation(const ServiceName &service, const ServerName &server, Incarnation incarnation);
 
--- a/src/daemon/servergateway.cpp
+++ b/src/daemon/servergateway.cpp
@@ -34,6 +34,12 @@
     return ServiceName(call.route.empty() ? call.root.requestClass.value() : call.route);
 }
 
+/** Whether an attempt can end with @p kind at a sound server. */
+bool saysNothingAboutServer(ErrorKind kind)
+{
+    return kind == ErrorKind::Cancelled || kind == ErrorKind::DeadlineExceeded || kind == ErrorKind::Unreachable;
+}
+
 StoredResponse storedResponse(const HttpResponse &response)
 {
     return {response.status, response.headers.fields(), response.body};
@@ -155,15 +161,15 @@
         }
         return admission.setServerHealthy(healthy);
     }));
+    if (healthy) {
+        tables_.quality.with([](ServerQuality &quality) { quality.reset(); });
+    }
 }
 
 std::size_t ServerGateway::inFlight() const
 {
     const std::lock_guard lock(mutex_);
     return queued_.size() + running_.size();
-    if (healthy) {
-        tables_.quality.with([](ServerQuality &quality) { quality.reset(); });
-    }
 }
 
 void ServerGateway::applyDispatch(const Dispatch &dispatch)
@@ -308,14 +314,14 @@
         tables_.metrics.recordExecution(sample.ownTime());
     }
 
+    recordQuality(call, result, sample, summary);
+
     const Dispatch next = tables_.admission.with(
         [&](AdmissionController &admission) { return admission.finished(ticketOf(attempt), sample); });
     if (!result.response) {
         logEvent(LogEvent::AttemptFailed, "",
                  {{"request", call.requestId},
                   {"server", pending->message.server.value()},
-    recordQuality(call, result, sample, summary);
-
                   {"kind", errorResponseFor(result.response.error()).name},
                   {"cancelled", pending->cancelled ? 1 : 0},
                   {"atServerMs", sample.total}});
@@ -325,12 +331,6 @@
     applyDispatch(next);
 }
 
-CallResult ServerGateway::makeResult(const PendingPtr &pending, HttpResult response, const ScopeSummary &summary)
-{
-    CallResult result;
-    result.spent = summary.spent;
-    result.subtreeLevel = summary.subtreeLevel;
-    if (!response) {
 void ServerGateway::recordQuality(const CallRequest &call, const CallResult &result, const ServiceSample &sample,
                                   const ScopeSummary &summary)
 {
@@ -349,6 +349,12 @@
     });
 }
 
+CallResult ServerGateway::makeResult(const PendingPtr &pending, HttpResult response, const ScopeSummary &summary)
+{
+    CallResult result;
+    result.spent = summary.spent;
+    result.subtreeLevel = summary.subtreeLevel;
+    if (!response) {
         result.response = tl::unexpected(pending->cancelled ? ErrorKind::Cancelled
                                                             : errorKindOf(response.error(), pending->message.call));
         return result;
@@ -418,11 +424,10 @@
         result.headroom = admission.headroom();
         result.limit = admission.limit();
     });
+    addQuality(result);
     pending->callback(std::move(result));
 }
 
-} // namespace Hibiscus
-    addQuality(result);
 void ServerGateway::addQuality(CallResult &result) const
 {
     const auto [slowdown, failing] = tables_.quality.with([](const ServerQuality &quality) {
@@ -437,3 +442,4 @@
     }
 }
 
+} // namespace Hibiscus
--- a/src/daemon/servergateway.h
+++ b/src/daemon/servergateway.h
@@ -63,14 +63,14 @@
     void sendToServer(const PendingPtr &pending);
     void onResponse(const PendingPtr &pending, HttpResult response);
     CallResult makeResult(const PendingPtr &pending, HttpResult response, const ScopeSummary &summary);
-    ErrorKind errorKindOf(TransportError error, const CallRequest &call) const;
     void recordQuality(const CallRequest &call, const CallResult &result, const ServiceSample &sample,
                        const ScopeSummary &summary);
+    ErrorKind errorKindOf(TransportError error, const CallRequest &call) const;
     void refuse(const PendingPtr &pending, ErrorKind kind);
     void recordOutcome(const CallMessage &message, const CallResult &result);
     void finish(const PendingPtr &pending, CallResult result);
-    PendingPtr removeQueued(AttemptId attempt);
     void addQuality(CallResult &result) const;
+    PendingPtr removeQueued(AttemptId attempt);
     void logLevelChange(Level level);
 
     const DaemonIdentity &self_;
--- a/src/daemon/serverhealth.cpp
+++ b/src/daemon/serverhealth.cpp
@@ -171,6 +171,7 @@
         changed = healthy_;
         healthy_ = false;
         if (changed) {
+            downSince_ = clock_.now();
             inFlight = extractInFlight();
         }
     }
@@ -211,6 +212,12 @@
     return healthy_;
 }
 
+Millis ServerHealth::downFor() const
+{
+    const std::lock_guard lock(mutex_);
+    return healthy_ ? Millis{0} : clock_.now() - downSince_;
+}
+
 std::size_t ServerHealth::runningCount() const
 {
     const std::lock_guard lock(mutex_);
--- a/src/daemon/serverhealth.h
+++ b/src/daemon/serverhealth.h
@@ -52,6 +52,8 @@
     void tick();
 
     bool healthy() const;
+    /** Time for which the server has refused connections; 0 if it is up. */
+    Millis downFor() const;
     std::size_t runningCount() const;
 
 private:
@@ -80,6 +82,7 @@
     std::deque<LostConnection> lostConnections_;
     std::string lastStart_; ///< Last known start; kSelfReported after a check-in, empty if none is known.
     bool healthy_ = true;
+    TimePoint downSince_; ///< Only meaningful while not healthy_.
     bool probing_ = false;
 };
 
--- a/src/directory/localserver.cpp
+++ b/src/directory/localserver.cpp
@@ -57,6 +57,11 @@
     return true;
 }
 
+void LocalServer::forget()
+{
+    current_.reset();
+}
+
 void LocalServer::markDraining(const ServerName &name, std::int64_t startedAt)
 {
     recordLeaving(name, startedAt, false);
--- a/src/directory/localserver.h
+++ b/src/directory/localserver.h
@@ -36,6 +36,9 @@
     /** Records that the server of that name ends; false if it is not the local server. */
     bool leave(const ServerName &name);
 
+    /** Forgets the local server, which seems lost for good. Its next check-in, if any, counts as a start. */
+    void forget();
+
     /** Marks a server process as draining because an earlier process of this daemon knew that it drains or has left. */
     void markDraining(const ServerName &name, std::int64_t startedAt);
 
--- a/src/mesh/autotests/meshdaemontest.cpp
+++ b/src/mesh/autotests/meshdaemontest.cpp
@@ -1,5 +1,8 @@
 #include "mesh/autotests/testmesh.h"
 
+#include "directory/serverregistration.h"
+#include "discovery/registrationwriter.h"
+
 #include <csignal>
 
 using namespace Hibiscus;
@@ -83,3 +86,47 @@
     std::raise(SIGHUP);
     CHECK(mesh.call("next").status == 200);
 }
+
+TEST_CASE("MeshDaemon: a registered server that its daemon does not know is soon chosen no more")
+{
+    // Guards against a server that was lost for good while its daemon was restarted: the daemon refuses what is
+    // addressed to it at once, which must not make it look like a fast server.
+    Mesh mesh;
+    const ServerRegistration lost{ServerName("desk-0"),
+                                  ServiceName("desk"),
+                                  FailureDomainName("a"),
+                                  mesh.desk->settings.peers,
+                                  Incarnation(9),
+                                  2000,
+                                  2000,
+                                  kSlots,
+                                  ServerState::Ready};
+    REQUIRE(mesh.store->create(registrationKey(lost.name), serializeRegistration(lost)).has_value());
+    REQUIRE(mesh.report(*mesh.desk, mesh.desk->report(1, "ready")) == 200);
+    mesh.awaitStatus(200);
+    constexpr int kCalls = 60;
+    const int before = mesh.counter(*mesh.front, "hibiscus_attempts_total");
+    for (int i = 0; i < kCalls; ++i) {
+        CHECK(mesh.call("c" + std::to_string(i)).status == 200);
+    }
+    // Two attempts eject the server, and each probe of the following 0.5 s or more costs one.
+    CHECK(mesh.counter(*mesh.front, "hibiscus_attempts_total") - before < kCalls + 6);
+}
+
+TEST_CASE("MeshDaemon: the registration of a server that refuses connections for long is withdrawn")
+{
+    // Guards against entries of servers that are lost for good: no leave notice removes them.
+    Mesh mesh;
+    REQUIRE(mesh.report(*mesh.desk, mesh.desk->report(1, "ready")) == 200);
+    mesh.awaitStatus(200);
+    REQUIRE(mesh.store->get("backend-servers/desk-1").has_value());
+    mesh.desk->stopServer();
+    CHECK(mesh.call("first").status != 200);
+    while (mesh.store->get("backend-servers/desk-1").has_value()) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    // A server that only restarted late reports itself and is served again.
+    mesh.desk->startServer();
+    REQUIRE(mesh.report(*mesh.desk, mesh.desk->report(2, "ready")) == 200);
+    mesh.awaitStatus(200);
+}
--- a/src/mesh/autotests/testmesh.h
+++ b/src/mesh/autotests/testmesh.h
@@ -159,8 +159,9 @@
     Host(asio::io_context &context, const std::string &name, const std::string &service,
          const std::shared_ptr<MemoryObjectStore> &store)
         : name_(name)
-        , server_(context, {nextAddress()}, handler)
+        , context_(context)
     {
+        settings.serverLostAfter = Millis{600};
         settings.host = name;
         settings.domain = FailureDomainName("a");
         settings.service = ServiceName(service);
@@ -168,7 +169,9 @@
         settings.ready = nextAddress();
         settings.checkIns = nextAddress();
         settings.peers = nextAddress();
-        settings.backend = *server_.open();
+        settings.metrics = nextAddress();
+        settings.backend = nextAddress();
+        startServer();
         MeshProtocols protocols;
         protocols.callers = std::make_unique<TestCallers>();
         protocols.backend = std::make_unique<ContextBackendProtocol>();
@@ -193,6 +196,19 @@
         daemon_->drain();
     }
 
+    void startServer()
+    {
+        server_ = std::make_unique<HttpServer>(context_, HttpServerSettings{settings.backend}, handler);
+        REQUIRE(server_->open().has_value());
+    }
+
+    /** From now on the backend server refuses connections. */
+    void stopServer()
+    {
+        server_->close();
+        server_->closeIdleConnections();
+    }
+
     std::string report(int sequence, const std::string &state) const
     {
         return name_ + " " + settings.service.value() + " " + settings.backend.value() + " " + std::to_string(sequence)
@@ -205,7 +221,8 @@
 
 private:
     std::string name_;
-    HttpServer server_;
+    asio::io_context &context_;
+    std::unique_ptr<HttpServer> server_;
     std::unique_ptr<MeshDaemon> daemon_;
     std::thread thread_;
 };
@@ -270,6 +287,15 @@
         return send(host.settings.checkIns, {"POST", "/", {}, text}).status;
     }
 
+    /** Value of a counter in the metrics of @p host. */
+    int counter(const Host &host, const std::string &name)
+    {
+        const std::string metrics = send(host.settings.metrics, {"GET", "/metrics", {}, ""}).body;
+        const std::size_t line = metrics.find("\n" + name + " ");
+        REQUIRE(line != std::string::npos);
+        return std::stoi(metrics.substr(line + name.size() + 2));
+    }
+
     /** Repeats a call until its response has @p status; the timeout of the test limits the wait. */
     void awaitStatus(int status)
     {
--- a/src/mesh/meshdaemon.cpp
+++ b/src/mesh/meshdaemon.cpp
@@ -277,6 +277,20 @@
     gateway.recheckQueue();
 }
 
+/** Withdraws the entries of a server that has refused connections for so long that it counts as lost for good. A server
+ * that is only silent or slow still accepts connections. */
+void MeshDaemon::Private::withdrawLostServer()
+{
+    if (health.downFor() < settings.serverLostAfter) {
+        return;
+    }
+    if (localServer.current()) {
+        logEvent(LogEvent::ServerChanged, localServer.current()->name.value() + " counts as lost for good");
+        localServer.forget();
+    }
+    deployment.withdrawAllOwn();
+}
+
 std::optional<ServerRegistration> MeshDaemon::Private::ownRegistration() const
 {
     const std::optional<CheckIn> &server = localServer.current();
@@ -288,6 +302,13 @@
                               server->startedAt, startedAt,       server->slots,   state};
 }
 
+/** Time for which the local server remains slow. A server that this process meets for the first time may have been
+ * running for long, so it is asked rather than assumed. */
+Millis MeshDaemon::Private::coldLeft() const
+{
+    return localServer.current() ? localServer.current()->coldLeft : Millis{0};
+}
+
 bool MeshDaemon::Private::isReady() const
 {
     return routes != nullptr && deployment.hasDirectory() && !draining;
@@ -302,13 +323,6 @@
     drainStarted = clock.now();
     logEvent(LogEvent::DaemonDraining, settings.host);
     calls.drain();
-/** Time for which the local server remains slow. A server that this process meets for the first time may have been
- * running for long, so it is asked rather than assumed. */
-Millis MeshDaemon::Private::coldLeft() const
-{
-    return localServer.current() ? localServer.current()->coldLeft : Millis{0};
-}
-
     timers.repeat(kDrainTick, [this] {
         const Millis elapsed = clock.now() - drainStarted;
         if (!detached && elapsed >= kDetachDelay) {
@@ -368,6 +382,7 @@
     d_->timers.repeat(kAdmissionTick, [this] { d_->gateway.tick(); });
     d_->timers.repeat(kHealthTick, [this] { d_->health.tick(); });
     d_->timers.repeat(kTableTick, [this] {
+        d_->withdrawLostServer();
         d_->tables.attempts.with([](AttemptTable &attempts) { attempts.tick(); });
         d_->tables.crashes.with([](CrashLedger &crashes) { crashes.tick(); });
     });
--- a/src/mesh/meshsettings.h
+++ b/src/mesh/meshsettings.h
@@ -34,6 +34,7 @@
     HostAddress backend; ///< Address of the backend server.
     HostAddress store; ///< Address of the platform's object API.
     Millis gracePeriod{6000}; ///< From SIGTERM to the end of the process.
+    Millis serverLostAfter{10000}; ///< A server that refuses connections for this long counts as lost for good.
     Millis checkInTimeout{1000}; ///< Time for which a backend server waits for the response to a heartbeat.
     RetryBudgetSettings retryBudget;
 };
--- a/src/routing/autotests/balancertest.cpp
+++ b/src/routing/autotests/balancertest.cpp
@@ -162,7 +162,9 @@
         } else if (op <= 4 && server.present) {
             fixture.balancer.started(nameOf(number));
         } else if (op <= 6 && server.inFlight > 0) {
-            fixture.balancer.finished(nameOf(number), {Level{value % 256}, value % 20, 20, value % 3 != 0});
+            AttemptFeedback feedback{.level = Level{value % 256}, .headroom = value % 20, .limit = 20};
+            feedback.responded = value % 3 != 0;
+            fixture.balancer.finished(nameOf(number), feedback);
         } else if (op >= 7 && server.inFlight > 0) {
             fixture.balancer.connectFailed(nameOf(number));
         }
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -24,6 +24,8 @@
 constexpr int kFailuresToEject = 2;
 constexpr Millis kInitialBackoff{500};
 constexpr Millis kMaximumBackoff{8000};
+/** Well below the interval of heartbeats, after which a restarted daemon knows its server again. */
+constexpr Millis kMissingBackoff{250};
 
 /** Share of @p limit that is in use; if the limit isn't known, 1 without headroom and else 0. */
 double busyShare(int headroom, const std::optional<int> &limit)
@@ -110,10 +112,10 @@
     if (feedback.headroom) {
         record->headroom = *feedback.headroom;
         record->busyShare = busyShare(*feedback.headroom, feedback.limit);
-        record->headroomAt = clock_.now();
-    }
         record->slowdown = std::max(feedback.slowdown, kMinimumSlowdown);
         record->failingShare = feedback.failingShare;
+        record->headroomAt = clock_.now();
+    }
     if (feedback.responded) {
         record->respondedAt = clock_.now();
         record->connectFailures = 0;
@@ -146,6 +148,19 @@
     record->probeAt = clock_.now() + record->backoff;
 }
 
+void Balancer::serverMissing(const ServerName &name)
+{
+    Record *record = release(name);
+    if (!record) {
+        return;
+    }
+    record->respondedAt = clock_.now();
+    record->ejected = true;
+    record->probing = false;
+    record->backoff = kMissingBackoff;
+    record->probeAt = clock_.now() + kMissingBackoff;
+}
+
 void Balancer::setIncarnation(const ServerName &name, Incarnation incarnation)
 {
     servers_.setIncarnation(name, incarnation);
--- a/src/routing/balancer.h
+++ b/src/routing/balancer.h
@@ -44,6 +44,9 @@
     void finished(const ServerName &name, const AttemptFeedback &feedback);
     /** No connection could be made, so the attempt was not sent. */
     void connectFailed(const ServerName &name);
+    /** The daemon responded that this server is not beside it: either the daemon was restarted and has not met the
+     * server yet, or the server is lost. */
+    void serverMissing(const ServerName &name);
 
     /** Records a restart of the daemon beside a server. The next update() overwrites the incarnation set here. */
     void setIncarnation(const ServerName &name, Incarnation incarnation);
@@ -75,12 +78,12 @@
         TimePoint respondedAt; ///< Time of the last response; firstSeenAt until there is one.
         std::optional<int> headroom;
         double busyShare = 0; ///< Of the limit reported along with the headroom.
+        double slowdown = 1; ///< Reported along with the headroom.
+        double failingShare = 0; ///< Reported along with the headroom.
         TimePoint headroomAt;
         int connectFailures = 0; ///< Consecutive.
         bool ejected = false;
         Millis backoff;
-        double slowdown = 1; ///< Reported along with the headroom.
-        double failingShare = 0; ///< Reported along with the headroom.
         TimePoint probeAt; ///< Earliest time of the next probe of an ejected server.
         bool probing = false;
     };
