Keep no cycle between a call, its attempt and its connections

A running daemon breaks these cycles at the end of each attempt; one that is stopped with attempts in progress left them behind. A weak watch alone did not suffice (720 allocations left). All three are weak now: the pending operations of a connection, watch or attempt keep it until it ends.

Test: test_mesh under the address sanitizer, "fell silent": leaks before, none now.

--- a/src/daemon/callattempts.cpp
+++ b/src/daemon/callattempts.cpp
@@ -80,7 +80,8 @@
         }
         const AttemptPtr attempt = call.current_;
         const bool isOpen = attempt && !attempt->ended;
-        const bool isUnsent = isOpen && attempt->connection && !attempt->connection->isWritten();
+        const auto connection = isOpen ? attempt->connection.lock() : nullptr;
+        const bool isUnsent = connection && !connection->isWritten();
         ErrorKind kind = isOpen && !isUnsent ? ErrorKind::DeadlineExceeded : ErrorKind::DeadlineBeforeRun;
         if (isOpen && (isUnsent || call.call_.repeatable)) {
             call.abortAttempt(attempt);
@@ -101,9 +102,10 @@
 /** Ends @p attempt and tells the executing daemon to cancel it. */
 void CallAttempts::abortAttempt(const AttemptPtr &attempt)
 {
+    const auto connection = attempt->connection.lock();
     if (attempt->server.address == services_.self.peers) {
         services_.gateway.cancel(attempt->id);
-    } else if (!attempt->connection || attempt->connection->isWritten()) {
+    } else if (!connection || connection->isWritten()) {
         HttpCallOptions options;
         options.connectTimeout = OutcomeWatch::kQueryTimeout;
         options.responseTimeout = OutcomeWatch::kQueryTimeout;
@@ -194,7 +196,7 @@
     const WatchedAttempt watched{attempt->id,         attempt->server,   attempt->started, call_.service,
                                  call_.durationKey(), outcomeDeadline(), call_.repeatable};
     OutcomeWatch::Callbacks callbacks;
-    callbacks.isConnected = [attempt] { return attempt->connection != nullptr; };
+    callbacks.isConnected = [attempt] { return !attempt->connection.expired(); };
     callbacks.ended = [self = shared_from_this(), attempt](CallResult result) {
         self->onResult(attempt, std::move(result));
     };
@@ -258,10 +260,10 @@
     if (const auto watch = attempt->watch.lock()) {
         watch->stop();
     }
-    if (attempt->connection) {
-        attempt->connection->cancel();
-        attempt->connection.reset();
+    if (const auto connection = attempt->connection.lock()) {
+        connection->cancel();
     }
+    attempt->connection.reset();
     const bool isOutcomeKnown = result.outcome() != Outcome::Unknown;
     policy_->settleGrant(attempt->granted, isOutcomeKnown ? result.spent : std::nullopt);
     AttemptFeedback feedback;
--- a/src/daemon/callattempts.h
+++ b/src/daemon/callattempts.h
@@ -39,10 +39,10 @@
         ServerView server;
         int granted = 0; ///< Attempts that the calls below this attempt may use.
         TimePoint started;
-        std::shared_ptr<HttpCall> connection; ///< Null for the local server, or once the connection is lost.
-        /** Empty for the local server. Weak, since the callbacks of the watch refer to the attempt; until it is
-         * stopped, its own timer or query keeps it. */
-        std::weak_ptr<OutcomeWatch> watch;
+        // The callbacks of connection and watch refer to the attempt, and their own operations keep both until they
+        // end.
+        std::weak_ptr<HttpCall> connection; ///< Empty for the local server, or once the connection is lost.
+        std::weak_ptr<OutcomeWatch> watch; ///< Empty for the local server.
         bool ended = false;
     };
     using AttemptPtr = std::shared_ptr<Attempt>;
--- a/src/daemon/servergateway.cpp
+++ b/src/daemon/servergateway.cpp
@@ -230,12 +230,12 @@
         const std::lock_guard lock(mutex_);
         running_[attempt] = pending;
     }
-    std::shared_ptr<HttpCall> connection =
+    const std::shared_ptr<HttpCall> connection =
         client_.send(self_.backend, protocol_.encode(pending->message, call.deadline - clock_.now()), options,
                      [this, pending](HttpResult response) { onResponse(pending, std::move(response)); });
     const std::lock_guard lock(mutex_);
     if (running_.contains(attempt)) {
-        pending->connection = std::move(connection);
+        pending->connection = connection;
     }
 }
 
@@ -256,8 +256,8 @@
         return;
     }
     found->second->cancelled = true;
-    if (found->second->connection) {
-        found->second->connection->cancel();
+    if (const auto connection = found->second->connection.lock()) {
+        connection->cancel();
     }
 }
 
--- a/src/daemon/servergateway.h
+++ b/src/daemon/servergateway.h
@@ -52,7 +52,8 @@
         TimePoint started;
         bool isSuspect = false;
         bool cancelled = false;
-        std::shared_ptr<HttpCall> connection{}; ///< To the backend server, while the attempt runs there.
+        /** To the backend server, while the attempt runs there. Weak, since its callback refers to the attempt. */
+        std::weak_ptr<HttpCall> connection{};
     };
     using PendingPtr = std::shared_ptr<Pending>;
 
--- a/src/mesh/routedcallhandler.cpp
+++ b/src/mesh/routedcallhandler.cpp
@@ -37,7 +37,7 @@
     std::uint64_t connection = 0;
     TimePoint started;
     HttpResponder respond;
-    std::shared_ptr<CallAttempts> attempts;
+    std::weak_ptr<CallAttempts> attempts; ///< Weak, since their callback refers to the call.
     asio::steady_timer timer; ///< Fires at the deadline.
     bool idempotent = false;
     AttemptId parent; ///< Attempt of the local backend server that makes this call.
@@ -99,10 +99,11 @@
         return;
     }
     const Millis timeLeft = callRequest.deadline - call->started;
-    call->attempts = std::make_shared<CallAttempts>(
+    const auto attempts = std::make_shared<CallAttempts>(
         services_, std::move(callRequest), [this, call](CallResult result) { finish(call, std::move(result)); });
+    call->attempts = attempts;
     startDeadlineTimer(call, timeLeft);
-    call->attempts->start();
+    attempts->start();
 }
 
 CallRequest RoutedCallHandler::makeRequest(HttpRequest request, const Route &route,
@@ -165,7 +166,9 @@
         if (error || call->done) {
             return;
         }
-        call->attempts->expire();
+        if (const auto attempts = call->attempts.lock()) {
+            attempts->expire();
+        }
     });
 }
 
@@ -178,8 +181,8 @@
     const std::vector<CallPtr> calls = std::move(found->second);
     calls_.erase(found);
     for (const CallPtr &call : calls) {
-        if (!call->done && call->attempts) {
-            call->attempts->cancel();
+        if (const auto attempts = call->done ? nullptr : call->attempts.lock()) {
+            attempts->cancel();
         }
     }
 }
