--- a/src/discovery/autotests/storewatchertest.cpp
+++ b/src/discovery/autotests/storewatchertest.cpp
@@ -93,12 +93,11 @@
 {
     asio::io_context context;
     Observed observed;
-    StoreWatcher watcher(context.get_executor(), store,
-                         {"servers", kWatchTimeout, Millis{0}, ReadMode::Latest, kRecheckedKind},
-                         {[&](const ObjectListing &) { ++observed.listed; },
-                          [&](const ChangeBatch &) { ++observed.changed; },
-                          [&](bool available) { observed.availability.push_back(available); },
-                          [&](const ObjectListing &) { ++observed.rechecked; }});
+    StoreWatcher watcher(
+        context.get_executor(), store, {"servers", kWatchTimeout, Millis{0}, ReadMode::Latest, kRecheckedKind},
+        {[&](const ObjectListing &) { ++observed.listed; }, [&](const ChangeBatch &) { ++observed.changed; },
+         [&](bool available) { observed.availability.push_back(available); },
+         [&](const ObjectListing &) { ++observed.rechecked; }});
     watcher.start();
     store.finished.get_future().wait();
     watcher.stop();
--- a/src/discovery/deploymentsync.cpp
+++ b/src/discovery/deploymentsync.cpp
@@ -52,15 +52,14 @@
            [this](bool available) {
                setStoreAvailable("configuration watch", isConfigurationWatchAvailable_, available);
            }})
-    , directoryWatcher_(executor_, store,
-                        {kRegistrationKind, kDirectoryWatchTimeout, kDirectoryBatchInterval, ReadMode::MayBeStale,
-                         kindOf(settings_.configurationKey)},
-                        {[this](const ObjectListing &listing) { handleServerListing(listing); },
-                         [this](const ChangeBatch &batch) { handleServerChanges(batch); },
-                         [this](bool available) {
-                             setStoreAvailable("backend server watch", isDirectoryWatchAvailable_, available);
-                         },
-                         [this](const ObjectListing &listing) { handleConfigurationListing(listing); }})
+    , directoryWatcher_(
+          executor_, store,
+          {kRegistrationKind, kDirectoryWatchTimeout, kDirectoryBatchInterval, ReadMode::MayBeStale,
+           kindOf(settings_.configurationKey)},
+          {[this](const ObjectListing &listing) { handleServerListing(listing); },
+           [this](const ChangeBatch &batch) { handleServerChanges(batch); },
+           [this](bool available) { setStoreAvailable("backend server watch", isDirectoryWatchAvailable_, available); },
+           [this](const ObjectListing &listing) { handleConfigurationListing(listing); }})
     , exchangeTimer_(executor_)
 {
     for (const HostAddress &seed : settings_.seeds) {
