Keep nested calls queued when the level refuses their class

A level above a class, or a full queue of a higher class, removed all that was queued below, also tickets that are exempt from the level, contrary to what Ticket says.

Test: admissioncontrollertest, "a nested call stays queued", which fails without the change (two refused instead of one).

--- a/src/admission/admissioncontroller.cpp
+++ b/src/admission/admissioncontroller.cpp
@@ -121,7 +121,7 @@
     healthy_ = healthy;
     Dispatch dispatch;
     if (!healthy) {
-        appendRefused(dispatch, queue_.removeBelow(classCount()), ErrorKind::Unreachable);
+        appendRefused(dispatch, queue_.removeAll(), ErrorKind::Unreachable);
     }
     return dispatch;
 }
--- a/src/admission/admissioncontroller.h
+++ b/src/admission/admissioncontroller.h
@@ -107,9 +107,9 @@
     WindowLoad window_;
     TimePoint windowStart_;
     int peakInFlight_ = 0;
-    // Queued tickets of classes below this rank are refused before the next start. A ticket of this class was refused
-    // as Overloaded, or the level refuses some of its buckets, and a less important ticket that arrived before must not
-    // run instead.
+    // Queued tickets of classes below this rank are refused before the next start, unless they are exempt from the
+    // level. A ticket of this class was refused as Overloaded, or the level refuses some of its buckets, and a less
+    // important ticket that arrived before must not run instead.
     int refuseBelow_ = 0;
     bool draining_ = false;
     bool healthy_ = true;
--- a/src/admission/admissionqueue.cpp
+++ b/src/admission/admissionqueue.cpp
@@ -91,16 +91,13 @@
 
 std::vector<Ticket> AdmissionQueue::removeBelow(int classRank)
 {
-    std::vector<Ticket> removed;
-    const std::size_t end = std::min(static_cast<std::size_t>(classRank), classes_.size());
-    for (std::size_t i = 0; i < end; ++i) {
-        for (const Ticket &ticket : classes_[i]) {
-            index_.erase(ticket.id);
-            removed.push_back(ticket);
-        }
-        classes_[i].clear();
-    }
-    return removed;
+    return removeIf(
+        [classRank](const Ticket &ticket) { return ticket.classRank < classRank && !ticket.isExemptFromLevel; });
+}
+
+std::vector<Ticket> AdmissionQueue::removeAll()
+{
+    return removeIf([](const Ticket &) { return true; });
 }
 
 std::size_t AdmissionQueue::size() const
--- a/src/admission/admissionqueue.h
+++ b/src/admission/admissionqueue.h
@@ -58,9 +58,11 @@
      */
     std::vector<Ticket> removeTimedOut(TimePoint now, int highestRank);
 
-    /** Removes the tickets of the classes below @p classRank. */
+    /** Removes the tickets of the classes below @p classRank, except those that are exempt from the level. */
     std::vector<Ticket> removeBelow(int classRank);
 
+    std::vector<Ticket> removeAll();
+
     std::size_t size() const;
 
 private:
--- a/src/admission/autotests/admissioncontrollertest.cpp
+++ b/src/admission/autotests/admissioncontrollertest.cpp
@@ -287,3 +287,42 @@
         CHECK(model.controller().level() == Level{0});
     }
 }
+
+TEST_CASE("AdmissionController: a nested call stays queued when tickets of its class are refused")
+{
+    // Guards against calls of running requests that are refused beside free slots, because the level or a full queue of
+    // a higher class removes what is queued below: the work of the requests that wait for them would be lost.
+    ManualClock clock;
+    AdmissionController controller({.slots = 1, .classCount = 2}, clock);
+    std::uint64_t id = 0;
+    const auto arrive = [&](int rank, bool isNested) {
+        const TimePoint deadline = clock.now() + Millis{5000};
+        return controller.arrive({TicketId(++id), rank, 0, {}, deadline, {}, isNested}).kind;
+    };
+    REQUIRE(arrive(1, false) == Decision::Kind::RunNow);
+    REQUIRE(arrive(0, true) == Decision::Kind::Queued);
+    const TicketId nested(id);
+    REQUIRE(arrive(0, false) == Decision::Kind::Queued);
+    const TicketId root(id);
+    while (arrive(1, false) == Decision::Kind::Queued) { }
+    const Dispatch dispatch = controller.tick();
+    REQUIRE(dispatch.refused.size() == 1);
+    CHECK(dispatch.refused[0].ticket.id == root);
+
+    SUBCASE("and it runs when a slot is free")
+    {
+        for (std::uint64_t running = 1; running <= id; ++running) {
+            for (const Ticket &started :
+                 controller.finished(TicketId(running), {.total = {1}, .waitingForChildren = {}}).started) {
+                CHECK(started.classRank == (started.id == nested ? 0 : 1));
+            }
+        }
+        CHECK(controller.queued() == 0);
+    }
+    SUBCASE("but not when the server is down")
+    {
+        const std::size_t queued = controller.queued();
+        CHECK(controller.setServerHealthy(false).refused.size() == queued);
+        CHECK(controller.queued() == 0);
+    }
+}
