Log the limit that a backend server names, before anything acts on it

What a server says of itself in a response (limit on its requests, leaving) is read by the backend protocols and logged by the daemon beside it: 2005 for a limit that begins, changes or ends, 2006 for a field that can't be read.

--- a/src/core/logevent.cpp
+++ b/src/core/logevent.cpp
@@ -19,7 +19,7 @@
 namespace
 {
 
-constexpr std::array<LogEventInfo, 25> kEvents{{
+constexpr std::array<LogEventInfo, 27> kEvents{{
     {LogEvent::DaemonStarted, "daemon-started", Severity::Info},
     {LogEvent::DaemonDraining, "daemon-draining", Severity::Info},
     {LogEvent::DaemonStopped, "daemon-stopped", Severity::Info},
@@ -29,6 +29,8 @@
     {LogEvent::ServerHealthy, "server-healthy", Severity::Info},
     {LogEvent::ServerCrashed, "server-crashed", Severity::Error},
     {LogEvent::SignatureQuarantined, "signature-quarantined", Severity::Error},
+    {LogEvent::ServerLimitChanged, "server-limit-changed", Severity::Info, true},
+    {LogEvent::ServerNoticeRejected, "server-notice-rejected", Severity::Warning, true},
     {LogEvent::AdmissionLevelChanged, "admission-level-changed", Severity::Info},
     {LogEvent::AttemptOutcomeUnknown, "attempt-outcome-unknown", Severity::Warning, true},
     {LogEvent::ConnectionSilent, "connection-silent", Severity::Warning, true},
--- a/src/core/logevent.h
+++ b/src/core/logevent.h
@@ -21,6 +21,8 @@
     ServerHealthy = 2002,
     ServerCrashed = 2003,
     SignatureQuarantined = 2004,
+    ServerLimitChanged = 2005,
+    ServerNoticeRejected = 2006,
     AdmissionLevelChanged = 2101,
     AttemptOutcomeUnknown = 2201,
     ConnectionSilent = 2202,
--- a/src/core/logfield.h
+++ b/src/core/logfield.h
@@ -2,6 +2,7 @@
 #define HIBISCUS_CORE_LOGFIELD_H
 
 #include "core/millis.h"
+#include "core/requestrate.h"
 
 #include <concepts>
 #include <cstdint>
@@ -32,6 +33,11 @@
         , value(duration.value)
     {
     }
+    LogField(std::string_view fieldName, RequestRate rate)
+        : name(fieldName)
+        , value(rate.perSecond)
+    {
+    }
     template<std::integral Number>
     LogField(std::string_view fieldName, Number number)
         : name(fieldName)
--- a/src/daemon/backendprotocol.h
+++ b/src/daemon/backendprotocol.h
@@ -2,6 +2,7 @@
 #define HIBISCUS_DAEMON_BACKENDPROTOCOL_H
 
 #include "daemon/callmessage.h"
+#include "daemon/servernotice.h"
 
 #include <string>
 
@@ -22,6 +23,9 @@
 
     /** The server's response as the caller gets it, or the error kind if the caller must not get it. */
     virtual Result<HttpResponse> decode(const CallMessage &message, HttpResponse response) const = 0;
+
+    /** What the server says of itself in any response, also in one to a health check. */
+    virtual ServerNotice readNotice(const HttpResponse &response) const = 0;
 };
 
 } // namespace Hibiscus
--- a/src/daemon/contextbackendprotocol.cpp
+++ b/src/daemon/contextbackendprotocol.cpp
@@ -43,4 +43,9 @@
     return response;
 }
 
+ServerNotice ContextBackendProtocol::readNotice(const HttpResponse &response) const
+{
+    return parseServerNotice(response.headers, {HeaderName::kRateLimit, HeaderName::kLeaving});
+}
+
 } // namespace Hibiscus
--- a/src/daemon/headernames.h
+++ b/src/daemon/headernames.h
@@ -37,6 +37,8 @@
 inline constexpr std::string_view kHost = "Hibiscus-Host";
 inline constexpr std::string_view kRetryAfter = "Hibiscus-Retry-After-Ms";
 inline constexpr std::string_view kNotRun = "Hibiscus-Not-Run";
+inline constexpr std::string_view kRateLimit = "Hibiscus-Rate-Limit";
+inline constexpr std::string_view kLeaving = "Hibiscus-Leaving";
 
 } // namespace Hibiscus::HeaderName
 
--- a/src/daemon/servergateway.cpp
+++ b/src/daemon/servergateway.cpp
@@ -306,6 +306,9 @@
         transportError = TransportError::TimedOut;
     }
     health_.attemptEnded(attempt, transportError);
+    if (response) {
+        recordNotice(protocol_.readNotice(*response));
+    }
     CallResult result = makeResult(pending, std::move(response), summary);
     sample.serverShed = !result.response && result.response.error() == ErrorKind::ServerRefused;
     if (result.response) {
@@ -331,6 +334,22 @@
     applyDispatch(next);
 }
 
+void ServerGateway::recordNotice(const ServerNotice &notice)
+{
+    if (!notice.isReadable) {
+        logEvent(LogEvent::ServerNoticeRejected, self_.server.value());
+        return;
+    }
+    {
+        const std::lock_guard lock(mutex_);
+        if (std::exchange(namedLimit_, notice.rateLimit) == notice.rateLimit) {
+            return;
+        }
+    }
+    logEvent(LogEvent::ServerLimitChanged, notice.rateLimit ? "" : "ended",
+             {{"server", self_.server.value()}, {"perSecond", notice.rateLimit.value_or(RequestRate{})}});
+}
+
 void ServerGateway::recordQuality(const CallRequest &call, const CallResult &result, const ServiceSample &sample,
                                   const ScopeSummary &summary)
 {
--- a/src/daemon/servergateway.h
+++ b/src/daemon/servergateway.h
@@ -73,6 +73,7 @@
     void addQuality(CallResult &result) const;
     PendingPtr removeQueued(AttemptId attempt);
     void logLevelChange(Level level);
+    void recordNotice(const ServerNotice &notice);
 
     const DaemonIdentity &self_;
     SharedTables &tables_;
@@ -84,6 +85,7 @@
     mutable std::mutex mutex_;
     std::unordered_map<AttemptId, PendingPtr> queued_;
     std::unordered_map<AttemptId, PendingPtr> running_;
+    std::optional<RequestRate> namedLimit_; ///< That the local server named last; guarded by mutex_.
     std::atomic<bool> shedding_{false}; ///< The admission level is above 0.
 };
 
