--- a/src/mesh/autotests/testmesh.h
+++ b/src/mesh/autotests/testmesh.h
@@ -13,6 +13,8 @@
 #include <atomic>
 #include <chrono>
 #include <future>
+#include <map>
+#include <mutex>
 #include <thread>
 
 #include <doctest/doctest.h>
@@ -126,7 +128,25 @@
             isHolding = true;
             return;
         }
-        respond({200, {}, std::string(request.headers.find(kRequestField).value_or("none"))});
+        HttpResponse response{200, {}, std::string(request.headers.find(kRequestField).value_or("none"))};
+        {
+            const std::lock_guard lock(mutex_);
+            for (const auto &[field, value] : notice_) {
+                response.headers.set(field, value);
+            }
+        }
+        respond(std::move(response));
+    }
+    /** From now on all responses have this header field. */
+    void setNotice(std::string_view field, const std::string &value)
+    {
+        const std::lock_guard lock(mutex_);
+        notice_[std::string(field)] = value;
+    }
+    void clearNotices()
+    {
+        const std::lock_guard lock(mutex_);
+        notice_.clear();
     }
     void connectionClosed(std::uint64_t connection) override
     {
@@ -138,6 +158,8 @@
     std::atomic<bool> heldConnectionClosed{false};
 
 private:
+    std::mutex mutex_;
+    std::map<std::string, std::string> notice_; ///< What the server says of itself in each response.
     std::atomic<std::uint64_t> heldConnection_{0};
 };
 
