Pace the requests to a backend server that names a limit

Change: admission/ratelimit, a decision of its own, paces what starts at the daemon beside the server, which is the only way to it: attempts, nested calls, the product's own interface and health checks alike. The daemon reports the slots that the rate keeps busy, and no headroom while more comes than it takes, so that the others place the rest elsewhere before it has to be refused. The limit ends with a response without one to a later request, or with the server's process. Daemons that were told the limit send it along; without that, the requests that wait for a restarted daemon all reach the server before its first response (test: 40 of 5 allowed). A restarted daemon's refusals name no limit and must not erase it; this was seen in the same test.

--- a/src/admission/admissioncontroller.cpp
+++ b/src/admission/admissioncontroller.cpp
@@ -1,6 +1,7 @@
 #include "admission/admissioncontroller.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Hibiscus
 {
@@ -10,6 +11,7 @@
 
 // If all service times are equal, the last ticket of a full queue waits for eight of them.
 constexpr std::size_t kQueuedPerSlot = 8;
+constexpr double kHoldTimeWeight = 0.1;
 
 AdmissionSettings validated(AdmissionSettings settings)
 {
@@ -67,7 +69,7 @@
         return refused(ErrorKind::Overloaded);
     }
     const bool isFirstInQueue = queue_.highestClass().value_or(-1) < ticket.classRank;
-    if (isFirstInQueue && reserve_.canStart(ticket.classRank, limit(), now)) {
+    if (isFirstInQueue && canStart(ticket.classRank, now)) {
         start(ticket, now);
         return {Decision::Kind::RunNow};
     }
@@ -87,6 +89,7 @@
         running_.erase(found);
         reserve_.finished(running.classRank, running.start, now, sample.ownTime());
         limit_.record(sample, this->running());
+        recordHoldTime(sample.total);
         window_.completed += sample.serverShed ? 0 : 1;
     }
     Dispatch dispatch;
@@ -149,12 +152,35 @@
 
 int AdmissionController::headroom() const
 {
-    return draining_ || !healthy_ ? 0 : std::max(0, limit() - running());
+    if (draining_ || !healthy_) {
+        return 0;
+    }
+    const int freeSlots = std::max(0, limit_.value() - running());
+    return std::min(freeSlots, static_cast<int>(limit() * rateLimit_.freeShare(clock_.now())));
 }
 
 int AdmissionController::limit() const
 {
-    return limit_.value();
+    if (!rateLimit_.value()) {
+        return limit_.value();
+    }
+    const double paced = std::ceil(std::min<double>(rateLimit_.concurrency(holdTime_), limit_.value()));
+    return std::max(1, static_cast<int>(paced));
+}
+
+RateLimit &AdmissionController::rateLimit()
+{
+    return rateLimit_;
+}
+
+const RateLimit &AdmissionController::rateLimit() const
+{
+    return rateLimit_;
+}
+
+Millis AdmissionController::retryAfter() const
+{
+    return rateLimit_.timeUntilStart(queue_.size(), clock_.now());
 }
 
 int AdmissionController::running() const
@@ -177,10 +203,21 @@
     return static_cast<int>(window_.classes.size());
 }
 
+bool AdmissionController::canStart(int classRank, TimePoint now) const
+{
+    return rateLimit_.canStart(now) && reserve_.canStart(classRank, limit_.value(), now);
+}
+
+void AdmissionController::recordHoldTime(Millis total)
+{
+    holdTime_ = holdTime_ == Millis{0} ? total : holdTime_ + (total - holdTime_) * kHoldTimeWeight;
+}
+
 void AdmissionController::start(const Ticket &ticket, TimePoint now)
 {
     running_.emplace(ticket.id, Running{ticket.classRank, now});
     reserve_.started(ticket.classRank, now);
+    rateLimit_.recordStart(now);
     peakInFlight_ = std::max(peakInFlight_, running());
     recordWait(ticket, now);
 }
@@ -245,7 +282,7 @@
     }
     refuseBelow_ = 0;
     for (auto highest = queue_.highestClass(); highest; highest = queue_.highestClass()) {
-        if (!reserve_.canStart(*highest, limit(), now)) {
+        if (!canStart(*highest, now)) {
             return;
         }
         const Ticket ticket = queue_.pop(*highest);
--- a/src/admission/admissioncontroller.h
+++ b/src/admission/admissioncontroller.h
@@ -5,6 +5,7 @@
 #include "admission/admissionqueue.h"
 #include "admission/classreserve.h"
 #include "admission/concurrencylimit.h"
+#include "admission/ratelimit.h"
 #include "admission/ticket.h"
 #include "core/clock.h"
 
@@ -75,10 +76,19 @@
     /** Lowest level that is admitted now. */
     Level level() const;
 
-    /** Limit minus running tickets, at least 0. */
+    /** Tickets that could start in addition, at least 0. */
     int headroom() const;
 
+    /** Tickets that may run at a time; under a limit on the rate, those that then run at a time. */
     int limit() const;
+
+    /** Limit that the server names on the rate of its requests. */
+    RateLimit &rateLimit();
+    const RateLimit &rateLimit() const;
+
+    /** Time after which a ticket that is refused as Overloaded now could start, as far as it is known; else 0. */
+    Millis retryAfter() const;
+
     int running() const;
     std::size_t queued() const;
     bool draining() const;
@@ -90,6 +100,8 @@
     };
 
     int classCount() const;
+    bool canStart(int classRank, TimePoint now) const;
+    void recordHoldTime(Millis total);
     void start(const Ticket &ticket, TimePoint now);
     void recordWait(const Ticket &ticket, TimePoint now);
     void refuseExpired(Dispatch &dispatch, TimePoint now);
@@ -100,6 +112,8 @@
     const Clock &clock_;
     AdmissionSettings settings_;
     ConcurrencyLimit limit_;
+    RateLimit rateLimit_;
+    Millis holdTime_; ///< Smoothed time for which a ticket runs.
     ClassReserve reserve_;
     AdmissionQueue queue_;
     AdmissionLevel level_;
--- a/src/daemon/autotests/callmessagetest.cpp
+++ b/src/daemon/autotests/callmessagetest.cpp
@@ -124,3 +124,28 @@
     CHECK_FALSE(encoded.headers.find(HeaderName::kError).has_value());
     CHECK(encoded.headers.find("X-Tag") == "a");
 }
+
+TEST_CASE("CallMessage: the limit that a server named reaches the other daemon as it was named")
+{
+    // Guards against a restarted daemon, or one where requests begin, that misreads the limit of a server in need.
+    const ManualClock clock;
+    for (const double perSecond : {0.0, 0.25, 41.9, 1e300}) {
+        CAPTURE(perSecond);
+        CallMessage message;
+        message.call.service = ServiceName("desk");
+        message.call.root.requestClass = ClassName("default");
+        message.call.path = "/a";
+        message.rateLimit = RequestRate{perSecond};
+        const auto decoded = decodeCall(encodeCall(message, clock), clock);
+        REQUIRE(decoded.has_value());
+        CHECK(decoded->rateLimit == message.rateLimit);
+
+        CallResult result;
+        result.response = HttpResponse{200, {}, ""};
+        result.rateLimit = RequestRate{perSecond};
+        CHECK(decodeResult(encodeResult(std::move(result))).rateLimit == RequestRate{perSecond});
+    }
+    HttpResponse forged{200, {}, ""};
+    forged.headers.add(std::string(HeaderName::kRateLimit), "inf");
+    CHECK(!decodeResult(forged).rateLimit);
+}
--- a/src/daemon/callattempts.cpp
+++ b/src/daemon/callattempts.cpp
@@ -151,8 +151,13 @@
 
 void CallAttempts::send(const AttemptPtr &attempt)
 {
-    CallMessage message{CallPurpose::Execute, attempt->id,          attempt->server.incarnation,
-                        services_.self.peers, attempt->server.name, {}};
+    CallMessage message{CallPurpose::Execute,
+                        attempt->id,
+                        attempt->server.incarnation,
+                        services_.self.peers,
+                        attempt->server.name,
+                        {},
+                        {}};
     if (attempt->server.address == services_.self.peers) {
         message.call = call_;
         message.call.attemptBudget = attempt->granted;
@@ -163,6 +168,8 @@
         });
         return;
     }
+    message.rateLimit = services_.routing.with(
+        [&](RoutingTable &routing) { return routing.rateLimit(call_.service, attempt->server.name); });
     sendRemote(attempt, message);
     startWatch(attempt);
 }
@@ -269,6 +276,8 @@
     AttemptFeedback feedback;
     feedback.headroom = result.headroom;
     feedback.limit = result.limit;
+    feedback.rateLimit = result.rateLimit;
+    feedback.serverResponded = result.response.has_value();
     feedback.slowdown = result.slowdownPercent.value_or(kPercent) / kPercent;
     feedback.failingShare = result.failingPercent.value_or(0) / kPercent;
     feedback.responded = result.headroom.has_value();
--- a/src/daemon/callcoordinator.cpp
+++ b/src/daemon/callcoordinator.cpp
@@ -108,7 +108,7 @@
         callback(failedResult(ErrorKind::DeadlineExceeded));
         return;
     }
-    HttpRequest request = encodeCall({CallPurpose::Coordinate, {}, {}, {}, {}, call}, services_.clock);
+    HttpRequest request = encodeCall({CallPurpose::Coordinate, {}, {}, {}, {}, call, {}}, services_.clock);
     services_.client.send(
         arbiter, std::move(request), options,
         [this, call = std::move(call), callback = std::move(callback)](HttpResult result) mutable {
--- a/src/daemon/callhandler.cpp
+++ b/src/daemon/callhandler.cpp
@@ -35,6 +35,7 @@
     result.limit.reset();
     result.slowdownPercent.reset();
     result.failingPercent.reset();
+    result.rateLimit.reset();
     return encodeResult(std::move(result));
 }
 
--- a/src/daemon/callmessage.cpp
+++ b/src/daemon/callmessage.cpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace Hibiscus
 {
@@ -29,14 +30,29 @@
     return value;
 }
 
-std::string formatMillis(Millis duration)
+std::string formatDecimal(double value)
 {
-    std::array<char, 32> buffer{};
+    // The largest double has 309 digits.
+    std::array<char, 320> buffer{};
     const auto written =
-        std::to_chars(buffer.data(), buffer.data() + buffer.size(), duration.value, std::chars_format::fixed, 3);
+        std::to_chars(buffer.data(), buffer.data() + buffer.size(), value, std::chars_format::fixed, 3);
     return {buffer.data(), written.ptr};
 }
 
+std::optional<RequestRate> parseRate(const HttpHeaders &headers)
+{
+    const auto perSecond = parseNumber<double>(headers.find(HeaderName::kRateLimit));
+    return perSecond && std::isfinite(*perSecond) && *perSecond >= 0 ? std::optional(RequestRate{*perSecond})
+                                                                     : std::nullopt;
+}
+
+void setRate(HttpHeaders &headers, const std::optional<RequestRate> &rate)
+{
+    if (rate) {
+        headers.set(HeaderName::kRateLimit, formatDecimal(rate->perSecond));
+    }
+}
+
 bool isInternalHeader(std::string_view name)
 {
     return name.size() >= HeaderName::kPrefix.size()
@@ -94,6 +110,7 @@
         headers.add(std::string(HeaderName::kIncarnation), std::to_string(message.incarnation.value()));
         headers.add(std::string(HeaderName::kServer), message.server.value());
         headers.add(std::string(HeaderName::kSender), message.sender.value());
+        setRate(headers, message.rateLimit);
     }
     if (!call.host.empty()) {
         headers.add(std::string(HeaderName::kHost), call.host);
@@ -106,7 +123,7 @@
     headers.add(std::string(HeaderName::kRank), std::to_string(call.root.rank));
     headers.add(std::string(HeaderName::kBucket), std::to_string(call.root.bucket));
     headers.add(std::string(HeaderName::kAttemptBudget), std::to_string(attemptBudget));
-    headers.add(std::string(HeaderName::kDeadline), formatMillis(call.deadline - clock.now()));
+    headers.add(std::string(HeaderName::kDeadline), formatDecimal((call.deadline - clock.now()).value));
     if (call.root.identity) {
         headers.add(std::string(HeaderName::kRequestId), formatRequestIdentity(*call.root.identity));
     }
@@ -145,6 +162,7 @@
     message.incarnation = Incarnation(incarnation.value_or(0));
     message.sender = HostAddress(std::string(headers.find(HeaderName::kSender).value_or("")));
     message.server = ServerName(std::string(headers.find(HeaderName::kServer).value_or("")));
+    message.rateLimit = parseRate(headers);
     CallRequest &call = message.call;
     if (const auto identity = headers.find(HeaderName::kRequestId)) {
         call.root.identity = parseRequestIdentity(*identity);
@@ -213,11 +231,12 @@
     setOptional(response.headers, HeaderName::kLimit, result.limit);
     setOptional(response.headers, HeaderName::kSlowdown, result.slowdownPercent);
     setOptional(response.headers, HeaderName::kFailing, result.failingPercent);
+    setRate(response.headers, result.rateLimit);
     if (result.incarnation) {
         response.headers.set(HeaderName::kIncarnation, std::to_string(result.incarnation->value()));
     }
     if (result.retryAfter) {
-        response.headers.set(HeaderName::kRetryAfter, formatMillis(*result.retryAfter));
+        response.headers.set(HeaderName::kRetryAfter, formatDecimal(result.retryAfter->value));
     }
     return response;
 }
@@ -232,6 +251,7 @@
     result.limit = parseNumber<int>(response.headers.find(HeaderName::kLimit));
     result.slowdownPercent = parseNumber<int>(response.headers.find(HeaderName::kSlowdown));
     result.failingPercent = parseNumber<int>(response.headers.find(HeaderName::kFailing));
+    result.rateLimit = parseRate(response.headers);
     if (const auto incarnation = parseNumber<std::uint64_t>(response.headers.find(HeaderName::kIncarnation))) {
         result.incarnation = Incarnation(*incarnation);
     }
--- a/src/daemon/callmessage.h
+++ b/src/daemon/callmessage.h
@@ -23,7 +23,9 @@
     Incarnation incarnation; ///< Process that the attempt is meant for; another one must not run it.
     HostAddress sender; ///< Peers listener of the daemon that sends the message.
     ServerName server; ///< Backend server that the attempt is meant for; another one must not run it.
-    CallRequest call;
+    CallRequest call{};
+    /** That the server named to the sender, for a daemon that was restarted and has not heard from it yet. */
+    std::optional<RequestRate> rateLimit{};
 };
 
 /** Service and path of a target of the form /svc/<service>/<path>; empty if it has another form. */
--- a/src/daemon/callrequest.h
+++ b/src/daemon/callrequest.h
@@ -4,6 +4,7 @@
 #include "core/errorkind.h"
 #include "core/ids.h"
 #include "core/millis.h"
+#include "core/requestrate.h"
 #include "execution/requestidentity.h"
 #include "http/httpmessage.h"
 
@@ -70,6 +71,7 @@
     std::optional<int> headroom; ///< Free capacity at the executing daemon.
     std::optional<int> limit; ///< Requests that the server of the executing daemon can run at a time.
     std::optional<int> slowdownPercent; ///< Own service time of that server in % of the usual; empty if not slow.
+    std::optional<RequestRate> rateLimit; ///< Requests a second that this server takes; empty if it names no limit.
     std::optional<int> failingPercent; ///< Share of the requests that it fails by itself; empty if it hardly fails.
     std::optional<Incarnation> incarnation; ///< Of the daemon that refused an attempt addressed to an earlier process.
     std::optional<Millis> retryAfter; ///< Time after which a refused call is worth sending again.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -127,8 +127,15 @@
               .count())
 {
     gateway = std::make_unique<ServerGateway>(self, tables, client, health, *this, protocol, clock);
-    health.setCallbacks([this](bool healthy) { gateway->setServerHealthy(healthy); },
-                        [this](const std::vector<Signature> &inFlight) { onCrash(inFlight); });
+    health.setCallbacks(
+        [this](bool healthy) {
+            if (healthy) {
+                gateway->serverReplaced();
+            }
+            gateway->setServerHealthy(healthy);
+        },
+        [this](const std::vector<Signature> &inFlight) { onCrash(inFlight); },
+        [this](const HttpResponse &response) { gateway->healthCheckEnded(response); });
     services =
         std::make_unique<CallServices>(CallServices{context, clock, self, tables, routing, random, client, *gateway});
     coordinator = std::make_unique<CallCoordinator>(*services);
--- a/src/daemon/routingtable.cpp
+++ b/src/daemon/routingtable.cpp
@@ -73,6 +73,11 @@
     return entry(service).balancer->timeSinceResponse(server);
 }
 
+std::optional<RequestRate> RoutingTable::rateLimit(const ServiceName &service, const ServerName &server)
+{
+    return entry(service).balancer->rateLimit(server);
+}
+
 void RoutingTable::connectFailed(const ServiceName &service, const ServerName &server)
 {
     entry(service).balancer->connectFailed(server);
--- a/src/daemon/routingtable.h
+++ b/src/daemon/routingtable.h
@@ -32,6 +32,8 @@
     void finished(const ServiceName &service, const ServerName &server, const AttemptFeedback &feedback);
     /** Time since the daemon beside @p server last responded to any call to @p service. */
     Millis silence(const ServiceName &service, const ServerName &server);
+    /** Limit that @p server last named to this daemon; empty if none. */
+    std::optional<RequestRate> rateLimit(const ServiceName &service, const ServerName &server);
     void connectFailed(const ServiceName &service, const ServerName &server);
     void serverMissing(const ServiceName &service, const ServerName &server);
     /** The daemon beside @p server was restarted. */
--- a/src/daemon/servergateway.cpp
+++ b/src/daemon/servergateway.cpp
@@ -40,6 +40,12 @@
     return kind == ErrorKind::Cancelled || kind == ErrorKind::DeadlineExceeded || kind == ErrorKind::Unreachable;
 }
 
+/** Whether the server itself responded to the request: not another one at its address, and not with broken bytes. */
+bool isFromServer(const CallResult &result)
+{
+    return result.response || result.response.error() == ErrorKind::ServerRefused;
+}
+
 StoredResponse storedResponse(const HttpResponse &response)
 {
     return {response.status, response.headers.fields(), response.body};
@@ -80,8 +86,12 @@
                         call.deadline,
                         expected,
                         !call.route.empty() && call.isNested()};
-    const Decision decision =
-        tables_.admission.with([&](AdmissionController &admission) { return admission.arrive(ticket); });
+    const Decision decision = tables_.admission.with([&](AdmissionController &admission) {
+        if (pending->message.rateLimit) {
+            admission.rateLimit().hint(*pending->message.rateLimit, clock_.now());
+        }
+        return admission.arrive(ticket);
+    });
     switch (decision.kind) {
     case Decision::Kind::RunNow:
         removeQueued(attempt);
@@ -203,6 +213,7 @@
     const CallRequest &call = pending->message.call;
     const AttemptId attempt = pending->message.attempt;
     pending->started = clock_.now();
+    pending->serverProcess = serverProcess_;
     // The server may have been drained or replaced while the attempt was queued.
     if (const std::optional<ErrorKind> refusal = gate_.refusal(pending->message.server)) {
         health_.attemptNotSent(attempt);
@@ -306,10 +317,12 @@
         transportError = TransportError::TimedOut;
     }
     health_.attemptEnded(attempt, transportError);
-    if (response) {
-        recordNotice(protocol_.readNotice(*response));
-    }
+    const ServerNotice notice = response ? protocol_.readNotice(*response) : ServerNotice{};
+    const bool hasResponse = response.has_value();
     CallResult result = makeResult(pending, std::move(response), summary);
+    if (hasResponse && pending->serverProcess == serverProcess_) {
+        recordNotice(notice, pending->started, isFromServer(result));
+    }
     sample.serverShed = !result.response && result.response.error() == ErrorKind::ServerRefused;
     if (result.response) {
         tables_.crashes.with([&](CrashLedger &crashes) { return crashes.recordCompletion(call.signature); });
@@ -334,20 +347,44 @@
     applyDispatch(next);
 }
 
-void ServerGateway::recordNotice(const ServerNotice &notice)
+void ServerGateway::recordNotice(const ServerNotice &notice, TimePoint sentAt, bool saysIfNone)
 {
     if (!notice.isReadable) {
         logEvent(LogEvent::ServerNoticeRejected, self_.server.value());
         return;
     }
-    {
-        const std::lock_guard lock(mutex_);
-        if (std::exchange(namedLimit_, notice.rateLimit) == notice.rateLimit) {
-            return;
+    const auto [before, after] = tables_.admission.with([&](AdmissionController &admission) {
+        RateLimit &limit = admission.rateLimit();
+        const std::optional<RequestRate> known = limit.value();
+        if (notice.rateLimit) {
+            limit.name(*notice.rateLimit, clock_.now());
+        } else if (saysIfNone) {
+            limit.nameNone(sentAt);
         }
+        return std::pair(known, limit.value());
+    });
+    logLimitChange(before, after);
+}
+
+void ServerGateway::logLimitChange(const std::optional<RequestRate> &before,
+                                   const std::optional<RequestRate> &after) const
+{
+    if (before != after) {
+        logEvent(LogEvent::ServerLimitChanged, after ? "" : "ended",
+                 {{"server", self_.server.value()}, {"perSecond", after.value_or(RequestRate{})}});
     }
-    logEvent(LogEvent::ServerLimitChanged, notice.rateLimit ? "" : "ended",
-             {{"server", self_.server.value()}, {"perSecond", notice.rateLimit.value_or(RequestRate{})}});
+}
+
+void ServerGateway::healthCheckEnded(const HttpResponse &response)
+{
+    recordNotice(protocol_.readNotice(response), clock_.now(), false);
+    tables_.admission.with([&](AdmissionController &admission) { admission.rateLimit().recordStart(clock_.now()); });
+}
+
+void ServerGateway::serverReplaced()
+{
+    ++serverProcess_;
+    tables_.admission.with([](AdmissionController &admission) { admission.rateLimit().serverReplaced(); });
 }
 
 void ServerGateway::recordQuality(const CallRequest &call, const CallResult &result, const ServiceSample &sample,
@@ -414,6 +451,10 @@
                   {"level", admission.level().value}});
     });
     CallResult result = failedResult(kind);
+    if (kind == ErrorKind::Overloaded) {
+        result.retryAfter =
+            tables_.admission.with([](const AdmissionController &admission) { return admission.retryAfter(); });
+    }
     recordOutcome(pending->message, result);
     finish(pending, std::move(result));
 }
@@ -442,6 +483,7 @@
         result.level = admission.level().value;
         result.headroom = admission.headroom();
         result.limit = admission.limit();
+        result.rateLimit = admission.rateLimit().value();
     });
     addQuality(result);
     pending->callback(std::move(result));
--- a/src/daemon/servergateway.h
+++ b/src/daemon/servergateway.h
@@ -37,6 +37,12 @@
     /** Starts or refuses queued attempts as time passes. To be called every 10 ms. */
     void tick();
 
+    /** The server responded to a health check, which counts under its limit like any request. */
+    void healthCheckEnded(const HttpResponse &response);
+
+    /** Another process of the backend server has started, so responses to earlier attempts say nothing about it. */
+    void serverReplaced();
+
     /** Number of attempts that are queued or running. */
     std::size_t inFlight() const;
 
@@ -50,6 +56,7 @@
         CallMessage message;
         CallCallback callback;
         TimePoint started;
+        int serverProcess = 0; ///< Value of serverProcess_ when the attempt was sent.
         bool isSuspect = false;
         bool cancelled = false;
         /** To the backend server, while the attempt runs there. Weak, since its callback refers to the attempt. */
@@ -73,7 +80,10 @@
     void addQuality(CallResult &result) const;
     PendingPtr removeQueued(AttemptId attempt);
     void logLevelChange(Level level);
-    void recordNotice(const ServerNotice &notice);
+    /** Applies what the server said of itself in a response; @p saysIfNone: naming no limit means that there is none.
+     */
+    void recordNotice(const ServerNotice &notice, TimePoint sentAt, bool saysIfNone);
+    void logLimitChange(const std::optional<RequestRate> &before, const std::optional<RequestRate> &after) const;
 
     const DaemonIdentity &self_;
     SharedTables &tables_;
@@ -85,7 +95,7 @@
     mutable std::mutex mutex_;
     std::unordered_map<AttemptId, PendingPtr> queued_;
     std::unordered_map<AttemptId, PendingPtr> running_;
-    std::optional<RequestRate> namedLimit_; ///< That the local server named last; guarded by mutex_.
+    std::atomic<int> serverProcess_{0}; ///< Number of the server's process, as far as this daemon knows.
     std::atomic<bool> shedding_{false}; ///< The admission level is above 0.
 };
 
--- a/src/daemon/serverhealth.cpp
+++ b/src/daemon/serverhealth.cpp
@@ -36,10 +36,11 @@
 {
 }
 
-void ServerHealth::setCallbacks(HealthChanged healthChanged, Crashed crashed)
+void ServerHealth::setCallbacks(HealthChanged healthChanged, Crashed crashed, Responded responded)
 {
     healthChanged_ = std::move(healthChanged);
     crashed_ = std::move(crashed);
+    responded_ = std::move(responded);
 }
 
 void ServerHealth::attemptStarted(AttemptId attempt, Signature signature)
@@ -145,6 +146,7 @@
             lastStart_ = start.empty() ? "unknown" : start;
         }
     }
+    responded_(*result);
     reportUp(restarted);
 }
 
--- a/src/daemon/serverhealth.h
+++ b/src/daemon/serverhealth.h
@@ -31,9 +31,12 @@
     /** Called with the signatures that were in flight when the server crashed. */
     using Crashed = std::function<void(std::vector<Signature>)>;
 
+    /** Called with the response to each health check. */
+    using Responded = std::function<void(const HttpResponse &response)>;
+
     ServerHealth(const DaemonIdentity &self, std::string healthPath, HttpClient &client, const Clock &clock);
 
-    void setCallbacks(HealthChanged healthChanged, Crashed crashed);
+    void setCallbacks(HealthChanged healthChanged, Crashed crashed, Responded responded);
 
     /** An attempt is about to be sent to the server. */
     void attemptStarted(AttemptId attempt, Signature signature);
@@ -76,6 +79,7 @@
     const Clock &clock_;
     HealthChanged healthChanged_;
     Crashed crashed_;
+    Responded responded_;
 
     mutable std::mutex mutex_;
     std::unordered_map<AttemptId, Signature> running_;
--- a/src/daemon/statuspage.cpp
+++ b/src/daemon/statuspage.cpp
@@ -17,11 +17,15 @@
 
 nlohmann::json admissionSection(const AdmissionController &admission)
 {
-    return {{"limit", admission.limit()},
-            {"running", admission.running()},
-            {"queued", admission.queued()},
-            {"level", admission.level().value},
-            {"headroom", admission.headroom()}};
+    nlohmann::json section{{"limit", admission.limit()},
+                           {"running", admission.running()},
+                           {"queued", admission.queued()},
+                           {"level", admission.level().value},
+                           {"headroom", admission.headroom()}};
+    if (const std::optional<RequestRate> &rate = admission.rateLimit().value()) {
+        section["rateLimit"] = rate->perSecond;
+    }
+    return section;
 }
 
 } // namespace
--- a/src/mesh/autotests/testmesh.h
+++ b/src/mesh/autotests/testmesh.h
@@ -182,6 +182,7 @@
          const std::shared_ptr<MemoryObjectStore> &store)
         : name_(name)
         , context_(context)
+        , store_(store)
     {
         settings.serverLostAfter = Millis{600};
         settings.host = name;
@@ -194,18 +195,7 @@
         settings.metrics = nextAddress();
         settings.backend = nextAddress();
         startServer();
-        MeshProtocols protocols;
-        protocols.callers = std::make_unique<TestCallers>();
-        protocols.backend = std::make_unique<ContextBackendProtocol>();
-        protocols.checkIns = std::make_unique<TestCheckIns>();
-        protocols.configuration = std::make_unique<TestConfiguration>();
-        protocols.store = std::make_unique<SharedObjectStore>(store);
-        daemon_ = std::make_unique<MeshDaemon>(settings, std::move(protocols));
-        REQUIRE(daemon_->start().has_value());
-        thread_ = std::thread([this] {
-            daemon_->run();
-            ended = true;
-        });
+        startDaemon();
     }
     ~Host()
     {
@@ -213,6 +203,15 @@
         thread_.join();
     }
 
+    /** Ends the daemon at once and starts another one in its place. The backend server keeps running. */
+    void restartDaemon()
+    {
+        daemon_->stop();
+        thread_.join();
+        daemon_.reset();
+        startDaemon();
+    }
+
     void drain()
     {
         daemon_->drain();
@@ -242,8 +241,25 @@
     std::atomic<bool> ended{false}; ///< The daemon's run() has returned.
 
 private:
+    void startDaemon()
+    {
+        MeshProtocols protocols;
+        protocols.callers = std::make_unique<TestCallers>();
+        protocols.backend = std::make_unique<ContextBackendProtocol>();
+        protocols.checkIns = std::make_unique<TestCheckIns>();
+        protocols.configuration = std::make_unique<TestConfiguration>();
+        protocols.store = std::make_unique<SharedObjectStore>(store_);
+        daemon_ = std::make_unique<MeshDaemon>(settings, std::move(protocols));
+        REQUIRE(daemon_->start().has_value());
+        thread_ = std::thread([this] {
+            daemon_->run();
+            ended = true;
+        });
+    }
+
     std::string name_;
     asio::io_context &context_;
+    std::shared_ptr<MemoryObjectStore> store_;
     std::unique_ptr<HttpServer> server_;
     std::unique_ptr<MeshDaemon> daemon_;
     std::thread thread_;
--- a/src/mesh/meshdaemon.cpp
+++ b/src/mesh/meshdaemon.cpp
@@ -99,6 +99,7 @@
     RouteTablePtr routes;
     std::int64_t startedAt = 0; ///< Of this process, in Unix milliseconds.
     std::uint64_t crashSequence = 0;
+    bool hasMetServer = false; ///< A server has checked in with this process.
     bool draining = false;
     bool detached = false; ///< The local server gets no new work from this daemon.
     TimePoint drainStarted;
@@ -160,7 +161,8 @@
               .count())
 {
     health.setCallbacks([this](bool healthy) { gateway.setServerHealthy(healthy, coldLeft()); },
-                        [this](const std::vector<Signature> &inFlight) { onCrash(inFlight); });
+                        [this](const std::vector<Signature> &inFlight) { onCrash(inFlight); },
+                        [this](const HttpResponse &response) { gateway.healthCheckEnded(response); });
 }
 
 bool MeshDaemon::Private::mayServe() const
@@ -269,6 +271,9 @@
 void MeshDaemon::Private::serverChanged(CheckInResult result)
 {
     logServer();
+    if (result == CheckInResult::Started && std::exchange(hasMetServer, true)) {
+        gateway.serverReplaced();
+    }
     if (localServer.current()) {
         health.serverCheckedIn(result == CheckInResult::Started);
         deployment.withdrawAllExcept(localServer.current()->name);
--- a/src/mesh/routedcallhandler.cpp
+++ b/src/mesh/routedcallhandler.cpp
@@ -207,8 +207,8 @@
     }
     const std::optional<ErrorKind> error = result.response ? std::nullopt : std::optional(result.response.error());
     services_.tables.metrics.recordCall(ClassName(call->routeName), error, services_.clock.now() - call->started);
-    if (result.outcome() == Outcome::NotRun && !result.retryAfter) {
-        result.retryAfter = retryAfterDelay(call->latencyTarget);
+    if (result.outcome() == Outcome::NotRun) {
+        result.retryAfter = std::max(result.retryAfter.value_or(Millis{0}), retryAfterDelay(call->latencyTarget));
     }
     logFailure(*call, result);
     HttpResponse response = protocol_.encode(call->metadata, std::move(result));
--- a/src/routing/autotests/balancertest.cpp
+++ b/src/routing/autotests/balancertest.cpp
@@ -207,6 +207,30 @@
 
 } // namespace
 
+TEST_CASE(
+    "Balancer: the limit of a server is kept until the server responds without one, also while its daemon restarts")
+{
+    // Guards against a restarted daemon whose first refusals, which name no limit, make the others forget it.
+    ManualClock clock;
+    SeededRandom random{1};
+    Balancer balancer({ServerName("self"), FailureDomainName("a")}, clock, random);
+    const ServerName server("s1");
+    balancer.update({{server, HostAddress("h:1"), Incarnation(1), FailureDomainName("a"), false, 7}});
+    const auto attempt = [&](const AttemptFeedback &feedback) {
+        balancer.started(server);
+        balancer.finished(server, feedback);
+    };
+    attempt({.level = {}, .headroom = 1, .rateLimit = RequestRate{5}, .serverResponded = true});
+    balancer.update({{server, HostAddress("h:1"), Incarnation(2), FailureDomainName("a"), false, 7}});
+    attempt({.level = {}, .headroom = 1});
+    CHECK(balancer.rateLimit(server) == RequestRate{5});
+    attempt({.level = {}, .headroom = 1, .serverResponded = true});
+    CHECK(!balancer.rateLimit(server));
+    attempt({.level = {}, .headroom = 1, .rateLimit = RequestRate{5}, .serverResponded = true});
+    balancer.update({{server, HostAddress("h:1"), Incarnation(3), FailureDomainName("a"), false, 8}});
+    CHECK(!balancer.rateLimit(server));
+}
+
 TEST_CASE("Balancer: picks exactly among the servers that may be tried")
 {
     // Guards against attempts on a draining, ejected, shedding or excluded server, a second probe, and a wrong number
--- a/src/routing/autotests/placementmodel.h
+++ b/src/routing/autotests/placementmodel.h
@@ -1,6 +1,7 @@
 #ifndef HIBISCUS_ROUTING_PLACEMENTMODEL_H
 #define HIBISCUS_ROUTING_PLACEMENTMODEL_H
 
+#include "admission/ratelimit.h"
 #include "core/manualclock.h"
 #include "routing/balancer.h"
 
@@ -41,6 +42,7 @@
     double serviceTime = kServiceTime; ///< Mean, in ms.
     double failingShare = 0; ///< Of the requests that it has run.
     bool present = true;
+    RateLimit rateLimit; ///< That the server names; its daemon reports it as AdmissionController does.
     int running = 0;
     std::deque<std::function<void()>> queue;
 };
@@ -178,37 +180,52 @@
     void arrive(int index, std::function<void(bool)> done)
     {
         ModelServer &server = servers.at(static_cast<std::size_t>(index));
-        if (server.running >= server.slots && server.queue.size() >= kMaximumQueue) {
+        if (!canStart(server) && server.queue.size() >= kMaximumQueue) {
             done(false);
             return;
         }
-        auto start = [this, index, done = std::move(done)] {
+        server.queue.push_back([this, index, done = std::move(done)] {
             ModelServer &running = servers.at(static_cast<std::size_t>(index));
             ++running.running;
+            running.rateLimit.recordStart(clock.now());
             after(exponential(running.serviceTime), [this, index, done] {
                 ModelServer &ended = servers.at(static_cast<std::size_t>(index));
                 --ended.running;
-                if (!ended.queue.empty()) {
-                    const auto next = std::move(ended.queue.front());
-                    ended.queue.pop_front();
-                    next();
-                }
+                startQueued(index);
                 done(random.fraction() >= ended.failingShare);
             });
-        };
-        if (server.running < server.slots) {
-            start();
-            return;
+        });
+        startQueued(index);
+    }
+
+    bool canStart(const ModelServer &server) const
+    {
+        return server.running < server.slots && server.rateLimit.canStart(clock.now());
+    }
+
+    void startQueued(int index)
+    {
+        ModelServer &server = servers.at(static_cast<std::size_t>(index));
+        while (!server.queue.empty() && canStart(server)) {
+            const auto next = std::move(server.queue.front());
+            server.queue.pop_front();
+            next();
+        }
+        if (!server.queue.empty() && !server.rateLimit.canStart(clock.now())) {
+            after(server.rateLimit.timeUntilStart(0, clock.now()).value + 1, [this, index] { startQueued(index); });
         }
-        server.queue.push_back(std::move(start));
     }
 
     void finish(std::size_t daemon, int domain, int index, double sentAt, bool isCompleted)
     {
         const ModelServer &server = servers.at(static_cast<std::size_t>(index));
         AttemptFeedback feedback;
-        feedback.headroom = server.slots - server.running;
         feedback.limit = server.slots;
+        if (server.rateLimit.value()) {
+            feedback.limit = static_cast<int>(std::ceil(server.rateLimit.concurrency({server.serviceTime})));
+        }
+        feedback.headroom = std::min(server.slots - server.running,
+                                     static_cast<int>(*feedback.limit * server.rateLimit.freeShare(clock.now())));
         feedback.slowdown = server.serviceTime / kServiceTime;
         feedback.failingShare = server.failingShare;
         balancers.at(daemon)->finished(serverName(index), feedback);
--- a/src/routing/autotests/placementtest.cpp
+++ b/src/routing/autotests/placementtest.cpp
@@ -121,3 +121,20 @@
     CHECK(results[0].refused < 0.06 * results[0].sent);
     CHECK(results[1].meanDuration() < 1.5 * kAloneDuration);
 }
+
+TEST_CASE("Placement: what a server does not take under its limit is served by the other domains in time")
+{
+    // Guards against requests that are refused, or that queue for a server in need, beside free slots elsewhere.
+    PlacementModel model;
+    model.servers[0].rateLimit.name({150}, model.clock.now());
+    model.play(Millis{1000}, {kCalm, kCalm, kCalm, kCalm});
+    const auto results = model.play(kDuration, {kCalm, kCalm, kCalm, kCalm});
+    CHECK(results[0].refused < 0.005 * results[0].sent);
+    CHECK(results[0].meanDuration() < 1.5 * kAloneDuration);
+    // Its own domain uses the larger part of what the server takes, which is a third of the domain's load.
+    CHECK(results[0].leftShare() < 0.85);
+    for (const std::size_t other : {1U, 2U, 3U}) {
+        CHECK(results[other].refused == 0);
+        CHECK(results[other].meanDuration() < 1.2 * kAloneDuration);
+    }
+}
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -116,6 +116,9 @@
         record->failingShare = feedback.failingShare;
         record->headroomAt = clock_.now();
     }
+    if (feedback.rateLimit || feedback.serverResponded) {
+        record->rateLimit = feedback.rateLimit;
+    }
     if (feedback.responded) {
         record->respondedAt = clock_.now();
         record->connectFailures = 0;
@@ -199,6 +202,12 @@
     return found == records_.end() ? Millis{0} : clock_.now() - found->second.respondedAt;
 }
 
+std::optional<RequestRate> Balancer::rateLimit(const ServerName &name) const
+{
+    const auto found = records_.find(name);
+    return found == records_.end() ? std::nullopt : found->second.rateLimit;
+}
+
 int Balancer::inFlight(const ServerName &name) const
 {
     const auto found = records_.find(name);
@@ -224,6 +233,7 @@
     if (known != records_.end() && known->second.serverStartedAt == record.serverStartedAt) {
         // Only the daemon was restarted, so the server is as warm as before.
         record.firstSeenAt = known->second.firstSeenAt;
+        record.rateLimit = known->second.rateLimit;
     }
     records_.insert_or_assign(name, record);
     levels_.remove(name);
--- a/src/routing/balancer.h
+++ b/src/routing/balancer.h
@@ -63,6 +63,9 @@
     /** Time since the last response of the daemon beside @p name; without one, since the server was first seen. */
     Millis timeSinceResponse(const ServerName &name) const;
 
+    /** Limit that @p name named when its daemon last responded; empty if none. */
+    std::optional<RequestRate> rateLimit(const ServerName &name) const;
+
     /** Attempts of this daemon that are in flight at @p name. */
     int inFlight(const ServerName &name) const;
 
@@ -81,6 +84,7 @@
         double slowdown = 1; ///< Reported along with the headroom.
         double failingShare = 0; ///< Reported along with the headroom.
         TimePoint headroomAt;
+        std::optional<RequestRate> rateLimit; ///< Outlasts restarts of the daemon.
         int connectFailures = 0; ///< Consecutive.
         bool ejected = false;
         Millis backoff;
--- a/src/routing/serverview.h
+++ b/src/routing/serverview.h
@@ -3,6 +3,7 @@
 
 #include "admission/level.h"
 #include "core/ids.h"
+#include "core/requestrate.h"
 
 #include <cstdint>
 #include <optional>
@@ -27,6 +28,8 @@
     std::optional<Level> level; ///< Hibiscus-Level: lowest level admitted by the server and the services below it.
     std::optional<int> headroom; ///< Hibiscus-Headroom: requests that the server can run in addition.
     std::optional<int> limit{}; ///< Hibiscus-Limit: requests that the server can run at a time.
+    std::optional<RequestRate> rateLimit{}; ///< Hibiscus-Rate-Limit: requests that the server takes; empty for any.
+    bool serverResponded = false; ///< The server itself responded, so that its daemon knows of any limit.
     double slowdown = 1; ///< Hibiscus-Slowdown: own service time of the server as a multiple of the usual one.
     double failingShare = 0; ///< Hibiscus-Failing: share of the requests that the server fails by itself.
     /** The daemon responded, even with a refusal; false for an attempt that was lost, unanswered or cancelled. */
