Stop work for a server that says in a response that it leaves

What callers would see: requests that reach a server more than 2 s after it said in its answers that it leaves, if its heartbeat with the same news is late or lost.

Cause: leaving had two sources, heartbeat and leave notice, each kept only by the daemon beside the server; the directories of the others followed whatever registration came last.

Change: one state, LeavingServers, keyed by name and start of the process. The daemon beside the server records what any response says (interim, late and health responses as well; an interim response was taken for the result before), refuses what is queued, registers the drain and tells it in its responses; the daemons where requests begin record it in their directories, where no later registration of that process undoes it. An entry from another daemon now counts for the own server if it says that it drains, so a restarted daemon learns of it without the store.

A check of serverdirectorytest required that a later write of the store makes a draining process ready again. That is the fault itself; it is replaced by one that the process stays draining, and that its successor is ready.

--- a/src/daemon/callattempts.cpp
+++ b/src/daemon/callattempts.cpp
@@ -307,6 +307,9 @@
             routing.retryBudget(call_.service).recordShed(now);
         }
     });
+    if (result.serverLeaving && services_.serverLeaving) {
+        services_.serverLeaving(attempt->server);
+    }
     if (result.response) {
         services_.tables.callLatency.with(
             [&](LatencyTracker &tracker) { tracker.record(call_.durationKey(), now - attempt->started); });
--- a/src/daemon/callhandler.cpp
+++ b/src/daemon/callhandler.cpp
@@ -36,6 +36,7 @@
     result.slowdownPercent.reset();
     result.failingPercent.reset();
     result.rateLimit.reset();
+    result.serverLeaving = false;
     return encodeResult(std::move(result));
 }
 
--- a/src/daemon/callmessage.cpp
+++ b/src/daemon/callmessage.cpp
@@ -232,6 +232,9 @@
     setOptional(response.headers, HeaderName::kSlowdown, result.slowdownPercent);
     setOptional(response.headers, HeaderName::kFailing, result.failingPercent);
     setRate(response.headers, result.rateLimit);
+    if (result.serverLeaving) {
+        response.headers.set(HeaderName::kLeaving, "1");
+    }
     if (result.incarnation) {
         response.headers.set(HeaderName::kIncarnation, std::to_string(result.incarnation->value()));
     }
@@ -252,6 +255,7 @@
     result.slowdownPercent = parseNumber<int>(response.headers.find(HeaderName::kSlowdown));
     result.failingPercent = parseNumber<int>(response.headers.find(HeaderName::kFailing));
     result.rateLimit = parseRate(response.headers);
+    result.serverLeaving = response.headers.find(HeaderName::kLeaving) == "1";
     if (const auto incarnation = parseNumber<std::uint64_t>(response.headers.find(HeaderName::kIncarnation))) {
         result.incarnation = Incarnation(*incarnation);
     }
--- a/src/daemon/callrequest.h
+++ b/src/daemon/callrequest.h
@@ -72,6 +72,7 @@
     std::optional<int> limit; ///< Requests that the server of the executing daemon can run at a time.
     std::optional<int> slowdownPercent; ///< Own service time of that server in % of the usual; empty if not slow.
     std::optional<RequestRate> rateLimit; ///< Requests a second that this server takes; empty if it names no limit.
+    bool serverLeaving = false; ///< This server drains, or is about to end.
     std::optional<int> failingPercent; ///< Share of the requests that it fails by itself; empty if it hardly fails.
     std::optional<Incarnation> incarnation; ///< Of the daemon that refused an attempt addressed to an earlier process.
     std::optional<Millis> retryAfter; ///< Time after which a refused call is worth sending again.
--- a/src/daemon/callservices.h
+++ b/src/daemon/callservices.h
@@ -8,6 +8,8 @@
 #include "daemon/sharedtables.h"
 #include "http/httpclient.h"
 
+#include <functional>
+
 #include <asio/io_context.hpp>
 
 namespace Hibiscus
@@ -23,6 +25,8 @@
     Guarded<DeviceRandom> &random;
     HttpClient &client;
     ServerGateway &gateway;
+    /** Called when the daemon beside @p server says that it is leaving. */
+    std::function<void(const ServerView &server)> serverLeaving{};
 };
 
 } // namespace Hibiscus
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -34,6 +34,13 @@
 constexpr Millis kHealthTick{200};
 constexpr Millis kTableTick{1000};
 
+/** Time of day in Unix milliseconds. */
+std::int64_t unixTimeNow()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+}
+
 StoreTransportSettings storeSettings(const DaemonSettings &settings)
 {
     StoreTransportSettings result;
@@ -53,6 +60,7 @@
 
     bool mayServe() const override;
     std::optional<ErrorKind> refusal(const ServerName &target) const override;
+    bool isLeaving(const ServerName &target) const override;
 
     tl::expected<void, std::string> openListener(const char *name, HttpServer &server);
     void startTimers();
@@ -62,6 +70,8 @@
     void checkSuperseded(const ServerRegistration &entry);
     void handleControl(std::string body, std::function<void(std::string)> respond);
     void onCrash(const std::vector<Signature> &inFlight);
+    void onServerStarted();
+    void onServerLeaving();
     void expireTables();
     std::string statusPage();
     std::size_t inFlight() const;
@@ -98,6 +108,8 @@
     std::atomic<bool> superseded{false};
     std::atomic<std::uint64_t> crashSequence{0};
     std::int64_t startedAt = 0; ///< Of this process, in Unix milliseconds.
+    std::atomic<std::int64_t> serverStartedAt{0}; ///< Of the local server, as far as this process has noticed.
+    std::atomic<bool> serverLeaving{false}; ///< The local server has said so.
 };
 
 Daemon::Private::Private(DaemonSettings daemonSettings)
@@ -122,15 +134,15 @@
            [this](const std::vector<CrashReport> &reports) {
                return tables.crashes.with([&](CrashLedger &crashes) { return crashes.mergeReceived(reports); });
            }})
-    , startedAt(
-          std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-              .count())
+    , startedAt(unixTimeNow())
 {
     gateway = std::make_unique<ServerGateway>(self, tables, client, health, *this, protocol, clock);
+    serverStartedAt = startedAt;
+    gateway->setLeavingCallback([this] { onServerLeaving(); });
     health.setCallbacks(
         [this](bool healthy) {
             if (healthy) {
-                gateway->serverReplaced();
+                onServerStarted();
             }
             gateway->setServerHealthy(healthy);
         },
@@ -181,7 +193,15 @@
     if (!mayServe()) {
         return ErrorKind::RulesNotFresh;
     }
-    return target == self.server ? std::nullopt : std::optional(ErrorKind::Misdirected);
+    if (target != self.server) {
+        return ErrorKind::Misdirected;
+    }
+    return serverLeaving ? std::optional(ErrorKind::Draining) : std::nullopt;
+}
+
+bool Daemon::Private::isLeaving(const ServerName &target) const
+{
+    return target == self.server && serverLeaving;
 }
 
 bool Daemon::Private::installConfiguration(const std::string &text, std::uint64_t version)
@@ -234,10 +254,10 @@
                               settings.domain,
                               settings.peers,
                               self.incarnation,
-                              startedAt,
+                              serverStartedAt,
                               startedAt,
                               std::max(1, own->slots),
-                              draining ? ServerState::Draining : ServerState::Ready};
+                              draining || serverLeaving ? ServerState::Draining : ServerState::Ready};
 }
 
 void Daemon::Private::checkSuperseded(const ServerRegistration &entry)
@@ -269,6 +289,25 @@
     asio::post(strand, [this] { deployment.announce(); });
 }
 
+void Daemon::Private::onServerStarted()
+{
+    gateway->serverReplaced();
+    serverStartedAt = unixTimeNow();
+    if (serverLeaving.exchange(false)) {
+        asio::post(strand, [this] { deployment.publish(); });
+    }
+}
+
+void Daemon::Private::onServerLeaving()
+{
+    if (serverLeaving.exchange(true)) {
+        return;
+    }
+    logEvent(LogEvent::ServerChanged, self.server.value() + " is leaving");
+    gateway->recheckQueue();
+    asio::post(strand, [this] { deployment.publish(); });
+}
+
 void Daemon::Private::expireTables()
 {
     tables.arbiter.with([](Arbiter &arbiter) { arbiter.tick(); });
--- a/src/daemon/servergateway.cpp
+++ b/src/daemon/servergateway.cpp
@@ -65,6 +65,11 @@
 {
 }
 
+void ServerGateway::setLeavingCallback(std::function<void()> callback)
+{
+    leaving_ = std::move(callback);
+}
+
 void ServerGateway::execute(CallMessage message, CallCallback callback)
 {
     const auto pending = std::make_shared<Pending>(Pending{std::move(message), std::move(callback), {}});
@@ -237,6 +242,11 @@
     options.freshConnection = !call.repeatable;
     options.responseTimeout = (call.deadline - clock_.now()) + (call.repeatable ? Millis{0} : kNonRepeatableGrace);
     options.echoedField = protocol_.echoedField();
+    options.otherResponse = [this, pending](const HttpResponse &response) {
+        if (pending->serverProcess == serverProcess_) {
+            recordNotice(protocol_.readNotice(response), pending->started, false);
+        }
+    };
     {
         const std::lock_guard lock(mutex_);
         running_[attempt] = pending;
@@ -364,6 +374,9 @@
         return std::pair(known, limit.value());
     });
     logLimitChange(before, after);
+    if (notice.isLeaving && leaving_) {
+        leaving_();
+    }
 }
 
 void ServerGateway::logLimitChange(const std::optional<RequestRate> &before,
@@ -485,6 +498,7 @@
         result.limit = admission.limit();
         result.rateLimit = admission.rateLimit().value();
     });
+    result.serverLeaving = gate_.isLeaving(pending->message.server);
     addQuality(result);
     pending->callback(std::move(result));
 }
--- a/src/daemon/servergateway.h
+++ b/src/daemon/servergateway.h
@@ -10,6 +10,7 @@
 #include "http/httpclient.h"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <unordered_map>
@@ -24,6 +25,9 @@
     ServerGateway(const DaemonIdentity &self, SharedTables &tables, HttpClient &client, ServerHealth &health,
                   const ServingGate &gate, const BackendProtocol &protocol, const Clock &clock);
 
+    /** Called when the local server says in a response that it is leaving. */
+    void setLeavingCallback(std::function<void()> callback);
+
     /** Runs one attempt. @p callback is called once, possibly before execute() returns. */
     void execute(CallMessage message, CallCallback callback);
 
@@ -92,6 +96,7 @@
     const ServingGate &gate_;
     const BackendProtocol &protocol_;
     const Clock &clock_;
+    std::function<void()> leaving_;
     mutable std::mutex mutex_;
     std::unordered_map<AttemptId, PendingPtr> queued_;
     std::unordered_map<AttemptId, PendingPtr> running_;
--- a/src/daemon/servinggate.h
+++ b/src/daemon/servinggate.h
@@ -20,6 +20,9 @@
 
     /** Why an attempt meant for the backend server @p target may not be sent to the local one; empty if it may. */
     virtual std::optional<ErrorKind> refusal(const ServerName &target) const = 0;
+
+    /** Whether @p target is the local backend server and is leaving. */
+    virtual bool isLeaving(const ServerName &target) const = 0;
 };
 
 } // namespace Hibiscus
--- a/src/directory/autotests/serverdirectorytest.cpp
+++ b/src/directory/autotests/serverdirectorytest.cpp
@@ -66,12 +66,38 @@
     CHECK(directory.applyDirect(registration("i-1", 20, ServerState::Draining)));
     CHECK_FALSE(directory.applyDirect(registration("i-1", 20)));
     CHECK(stateOf(directory, "i-1") == ServerState::Draining);
+    // A restarted daemon that took a late check-in for the present state of the same server process.
     CHECK(directory.apply(registration("i-1", 30), 6));
+    CHECK(stateOf(directory, "i-1") == ServerState::Draining);
+    ServerRegistration nextProcess = registration("i-1", 30);
+    nextProcess.startedAt = 2;
+    CHECK(directory.apply(nextProcess, 7));
     CHECK(stateOf(directory, "i-1") == ServerState::Ready);
-    directory.remove(ServerName("i-1"), 7);
+    directory.remove(ServerName("i-1"), 8);
     CHECK_FALSE(directory.applyDirect(registration("i-1", 30)));
 }
 
+TEST_CASE("ServerDirectory: a server process that said that it leaves stays so, whichever registration arrives later")
+{
+    // Guards against an old entry, or one of a daemon that lags, that puts a leaving server in use again.
+    ServerDirectory directory;
+    directory.apply(registration("i-1"), 5);
+    CHECK_FALSE(directory.markDraining(ServerName("i-1"), 2));
+    CHECK(directory.markDraining(ServerName("i-1"), 1));
+    CHECK_FALSE(directory.markDraining(ServerName("i-1"), 1));
+    directory.apply(registration("i-1"), 6);
+    CHECK(stateOf(directory, "i-1") == ServerState::Draining);
+    directory.applyDirect(registration("i-1", 20));
+    CHECK(stateOf(directory, "i-1") == ServerState::Draining);
+    directory.remove(ServerName("i-1"), 7);
+    directory.apply(registration("i-1", 30), 8);
+    CHECK(stateOf(directory, "i-1") == ServerState::Draining);
+    // The news came before the registration.
+    directory.markDraining(ServerName("i-2"), 1);
+    directory.applyDirect(registration("i-2"));
+    CHECK(stateOf(directory, "i-2") == ServerState::Draining);
+}
+
 TEST_CASE("ServerRegistration: malformed entries are rejected")
 {
     // Guards against an entry of another writer, or a damaged one, that makes daemons send requests to a server.
--- a/src/directory/localserver.cpp
+++ b/src/directory/localserver.cpp
@@ -1,7 +1,5 @@
 #include "directory/localserver.h"
 
-#include <algorithm>
-
 namespace Hibiscus
 {
 
@@ -16,6 +14,7 @@
 LocalServer::LocalServer(ServiceName service, HostAddress address)
     : service_(std::move(service))
     , address_(std::move(address))
+    , leaving_(kMaximumLeavingProcesses)
 {
 }
 
@@ -29,14 +28,14 @@
         return CheckInResult::Stale;
     }
     CheckIn accepted = checkIn;
-    if (const LeavingProcess *leaving = findLeaving(checkIn.name, checkIn.startedAt)) {
-        if (leaving->hasLeft) {
-            return CheckInResult::Stale;
-        }
+    if (leaving_.hasLeft(checkIn.name, checkIn.startedAt)) {
+        return CheckInResult::Stale;
+    }
+    if (leaving_.isLeaving(checkIn.name, checkIn.startedAt)) {
         accepted.state = ServerState::Draining;
     }
     if (accepted.state == ServerState::Draining) {
-        recordLeaving(accepted.name, accepted.startedAt, false);
+        leaving_.record(accepted.name, accepted.startedAt, false);
     }
     const bool changed = isKnown && (current_->state != accepted.state || current_->slots != accepted.slots);
     current_ = accepted;
@@ -52,7 +51,7 @@
     if (!current_ || current_->name != name) {
         return false;
     }
-    recordLeaving(name, current_->startedAt, true);
+    leaving_.record(name, current_->startedAt, true);
     current_.reset();
     return true;
 }
@@ -62,43 +61,27 @@
     current_.reset();
 }
 
-void LocalServer::markDraining(const ServerName &name, std::int64_t startedAt)
+bool LocalServer::markDraining(const ServerName &name, std::int64_t startedAt)
 {
-    recordLeaving(name, startedAt, false);
-    if (current_ && current_->name == name && current_->startedAt == startedAt) {
-        current_->state = ServerState::Draining;
-    }
-}
-
-std::optional<ErrorKind> LocalServer::refusal(const ServerName &target) const
-{
-    if (!current_ || current_->name != target) {
-        return ErrorKind::Misdirected;
-    }
-    if (current_->state == ServerState::Draining) {
-        return ErrorKind::Draining;
+    leaving_.record(name, startedAt, false);
+    if (!current_ || current_->name != name || current_->startedAt != startedAt || isDraining(name)) {
+        return false;
     }
-    return std::nullopt;
+    current_->state = ServerState::Draining;
+    return true;
 }
 
-LocalServer::LeavingProcess *LocalServer::findLeaving(const ServerName &name, std::int64_t startedAt)
+bool LocalServer::isDraining(const ServerName &name) const
 {
-    const auto found = std::find_if(leaving_.begin(), leaving_.end(), [&](const LeavingProcess &candidate) {
-        return candidate.name == name && candidate.startedAt == startedAt;
-    });
-    return found == leaving_.end() ? nullptr : &*found;
+    return current_ && current_->name == name && current_->state == ServerState::Draining;
 }
 
-void LocalServer::recordLeaving(const ServerName &name, std::int64_t startedAt, bool hasLeft)
+std::optional<ErrorKind> LocalServer::refusal(const ServerName &target) const
 {
-    if (LeavingProcess *known = findLeaving(name, startedAt)) {
-        known->hasLeft = known->hasLeft || hasLeft;
-        return;
-    }
-    if (leaving_.size() >= kMaximumLeavingProcesses) {
-        leaving_.erase(leaving_.begin());
+    if (!current_ || current_->name != target) {
+        return ErrorKind::Misdirected;
     }
-    leaving_.push_back({name, startedAt, hasLeft});
+    return isDraining(target) ? std::optional(ErrorKind::Draining) : std::nullopt;
 }
 
 } // namespace Hibiscus
--- a/src/directory/localserver.h
+++ b/src/directory/localserver.h
@@ -3,9 +3,9 @@
 
 #include "core/errorkind.h"
 #include "directory/checkin.h"
+#include "directory/leavingservers.h"
 
 #include <optional>
-#include <vector>
 
 namespace Hibiscus
 {
@@ -39,12 +39,16 @@
     /** Forgets the local server, which seems lost for good. Its next check-in, if any, counts as a start. */
     void forget();
 
-    /** Marks a server process as draining because an earlier process of this daemon knew that it drains or has left. */
-    void markDraining(const ServerName &name, std::int64_t startedAt);
+    /** Marks a server process as draining, whichever way this daemon has learned it; true if the local server changed.
+     */
+    bool markDraining(const ServerName &name, std::int64_t startedAt);
 
     /** Reason why an attempt addressed to @p target may not be sent to the local server now; empty if it may. */
     std::optional<ErrorKind> refusal(const ServerName &target) const;
 
+    /** Whether @p name is the local server and drains. */
+    bool isDraining(const ServerName &name) const;
+
     /** Last check-in; empty before the first one and after the server has left. */
     const std::optional<CheckIn> &current() const
     {
@@ -52,21 +56,11 @@
     }
 
 private:
-    /** A server process that drains or has left; its start time tells it apart from later processes of that name. */
-    struct LeavingProcess {
-        ServerName name;
-        std::int64_t startedAt = 0;
-        bool hasLeft = false;
-    };
-
-    LeavingProcess *findLeaving(const ServerName &name, std::int64_t startedAt);
-    void recordLeaving(const ServerName &name, std::int64_t startedAt, bool hasLeft);
-
     ServiceName service_;
     HostAddress address_;
     std::optional<CheckIn> current_;
     std::int64_t latestStartedAt_ = 0;
-    std::vector<LeavingProcess> leaving_; ///< Oldest first.
+    LeavingServers leaving_;
 };
 
 } // namespace Hibiscus
--- a/src/directory/serverdirectory.cpp
+++ b/src/directory/serverdirectory.cpp
@@ -1,6 +1,7 @@
 #include "directory/serverdirectory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Hibiscus
 {
@@ -24,27 +25,50 @@
     return removal == removed_.end() || removal->second <= revision;
 }
 
+/** Remembers a process that drains, and lets any other registration of it say so as well. */
+ServerRegistration ServerDirectory::withKnownState(ServerRegistration registration)
+{
+    if (registration.state == ServerState::Draining) {
+        markDraining(registration.name, registration.startedAt);
+    } else if (leaving_.isLeaving(registration.name, registration.startedAt)) {
+        registration.state = ServerState::Draining;
+    }
+    return registration;
+}
+
+bool ServerDirectory::markDraining(const ServerName &name, std::int64_t startedAt)
+{
+    leaving_.record(name, startedAt, false);
+    const auto known = entries_.find(name);
+    if (known == entries_.end() || known->second.registration.startedAt != startedAt) {
+        return false;
+    }
+    return std::exchange(known->second.registration.state, ServerState::Draining) != ServerState::Draining;
+}
+
 bool ServerDirectory::apply(const ServerRegistration &registration, std::uint64_t revision)
 {
     if (!isNewer(registration.name, revision)) {
         return false;
     }
+    const DirectoryEntry entry{withKnownState(registration), revision};
     removed_.erase(registration.name);
-    entries_.insert_or_assign(registration.name, DirectoryEntry{registration, revision});
+    entries_.insert_or_assign(registration.name, entry);
     return true;
 }
 
-bool ServerDirectory::applyDirect(const ServerRegistration &registration)
+bool ServerDirectory::applyDirect(const ServerRegistration &received)
 {
-    const auto known = entries_.find(registration.name);
+    const auto known = entries_.find(received.name);
     if (known == entries_.end()) {
-        if (removed_.contains(registration.name)) {
+        if (removed_.contains(received.name)) {
             return false;
         }
-        entries_.emplace(registration.name, DirectoryEntry{registration, 0});
+        entries_.emplace(received.name, DirectoryEntry{withKnownState(received), 0});
         return true;
     }
-    const ServerRegistration &old = known->second.registration;
+    const ServerRegistration old = known->second.registration;
+    const ServerRegistration registration = withKnownState(received);
     const bool startsDraining = old.state != ServerState::Draining && registration.state == ServerState::Draining;
     const bool isNewerProcess = registration.daemonStartedAt > old.daemonStartedAt;
     const bool isUpdateOfSameProcess =
--- a/src/directory/serverdirectory.h
+++ b/src/directory/serverdirectory.h
@@ -1,6 +1,7 @@
 #ifndef HIBISCUS_DIRECTORY_SERVERDIRECTORY_H
 #define HIBISCUS_DIRECTORY_SERVERDIRECTORY_H
 
+#include "directory/leavingservers.h"
 #include "directory/serverregistration.h"
 
 #include <cstdint>
@@ -18,7 +19,8 @@
 
 /**
  * The backend servers of the deployment that this process knows of, merged from the store and from other daemons. The
- * change with the higher revision wins, so the order and the number of deliveries don't matter.
+ * change with the higher revision wins, so the order and the number of deliveries don't matter. A server process that
+ * drains remains so, whichever of its registrations arrives later.
  */
 class ServerDirectory
 {
@@ -30,7 +32,7 @@
      * Applies a registration that comes directly from the daemon of the server, while the store may be unreachable. It
      * is valid until the store has a later change. False if it is not newer than what is known.
      */
-    bool applyDirect(const ServerRegistration &registration);
+    bool applyDirect(const ServerRegistration &received);
 
     /** Applies a removal; false if the known registration has this or a later revision, if a later removal is known, or
      * if the server is unknown. */
@@ -39,6 +41,9 @@
     /** Replaces all entries by a full listing of the store at @p revision. Later changes are kept. */
     void replace(const std::vector<DirectoryEntry> &entries, std::uint64_t revision);
 
+    /** Records that a server process drains, whatever its registration says; true if its entry changed. */
+    bool markDraining(const ServerName &name, std::int64_t startedAt);
+
     const DirectoryEntry *find(const ServerName &name) const;
     const std::map<ServerName, DirectoryEntry> &entries() const
     {
@@ -46,9 +51,15 @@
     }
 
 private:
+    /** Leaving processes that are remembered; entries of older ones are no longer expected to arrive. */
+    static constexpr std::size_t kMaximumLeavingServers = 1024;
+
     bool isNewer(const ServerName &name, std::uint64_t revision) const;
 
     std::map<ServerName, DirectoryEntry> entries_;
+    ServerRegistration withKnownState(ServerRegistration registration);
+
+    LeavingServers leaving_{kMaximumLeavingServers};
     std::map<ServerName, std::uint64_t> removed_; ///< Revision of the removal, so that a delayed copy can't undo it.
 };
 
--- a/src/discovery/deploymentsync.cpp
+++ b/src/discovery/deploymentsync.cpp
@@ -138,6 +138,13 @@
     }
 }
 
+void DeploymentSync::markDraining(const ServerName &name, std::int64_t startedAt)
+{
+    if (directory_.markDraining(name, startedAt)) {
+        callbacks_.directoryChanged();
+    }
+}
+
 void DeploymentSync::announce()
 {
     exchange_.announce();
@@ -299,7 +306,8 @@
     bool changed = false;
     for (const DirectoryEntry &entry : message.servers) {
         if (own && entry.registration.name == own->name) {
-            // This daemon's own registration of its local server is authoritative.
+            // This daemon's own registration of its local server is authoritative, except that a drain is never undone.
+            handleOwnEntry(entry.registration);
             continue;
         }
         const DirectoryEntry *known = directory_.find(entry.registration.name);
--- a/src/discovery/deploymentsync.h
+++ b/src/discovery/deploymentsync.h
@@ -59,6 +59,8 @@
     void withdrawAllExcept(const ServerName &current);
     /** Removes the registrations of all servers of this daemon from the store. */
     void withdrawAllOwn();
+    /** Records that a server process drains, as it said in a response. */
+    void markDraining(const ServerName &name, std::int64_t startedAt);
     /** Exchanges with other daemons immediately, for instance after a crash. */
     void announce();
 
--- a/src/http/autotests/reusedconnectiontest.cpp
+++ b/src/http/autotests/reusedconnectiontest.cpp
@@ -5,6 +5,7 @@
 
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <asio/read.hpp>
 #include <asio/read_until.hpp>
@@ -200,3 +201,33 @@
         }
     }
 }
+
+TEST_CASE("HttpClient: interim and late responses are passed to whoever wants to read them, and are no result")
+{
+    // Guards against an interim response that ends its request, and against news of a server that is dropped unread.
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    std::thread server([&acceptor, &context] {
+        asio::ip::tcp::socket socket(context);
+        acceptor.accept(socket);
+        std::string input;
+        asio::read_until(socket, asio::dynamic_buffer(input), "\r\n\r\n");
+        asio::write(socket,
+                    asio::buffer("HTTP/1.1 103 Early Hints\r\nX-News: a\r\n\r\n" + responseTo("0", "late")
+                                 + responseTo("1", "mine")));
+    });
+    std::vector<int> others;
+    HttpCallOptions options;
+    options.echoedField = kEcho;
+    options.otherResponse = [&others](const HttpResponse &response) { others.push_back(response.status); };
+    HttpRequest request{"GET", "/", {}, ""};
+    request.headers.add(kEcho, "1");
+    std::string body;
+    HttpClient client(context);
+    client.send(formatEndpoint(acceptor.local_endpoint()), std::move(request), options,
+                [&body](const HttpResult &result) { body = result ? result->body : ""; });
+    context.run();
+    server.join();
+    CHECK(body == "mine");
+    CHECK(others == std::vector<int>{103, 200});
+}
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -276,6 +276,14 @@
         finishParsing(state);
     }
 
+    /** Whether another response to the same request follows (RFC 9110, section 15.2). */
+    static bool isInterim(const HttpResponse &response)
+    {
+        constexpr int kStatusContinue = 100;
+        constexpr int kStatusOk = 200;
+        return response.status >= kStatusContinue && response.status < kStatusOk;
+    }
+
     /** Whether the echoed field of the response names another request. */
     bool isForOtherRequest(const HttpResponse &response) const
     {
@@ -293,7 +301,10 @@
         const Millis idle = parser_->idleTimeout().value_or(kMaximumIdleTime) * kIdleTimeoutFraction;
         const std::string trailing = parser_->extractTrailingBytes();
         HttpResponse response = parser_->extractResponse();
-        if (isForOtherRequest(response)) {
+        if (isInterim(response) || isForOtherRequest(response)) {
+            if (options_.otherResponse) {
+                options_.otherResponse(response);
+            }
             if (++droppedResponses_ > kMaximumDroppedResponses) {
                 finish(tl::unexpected(TransportError::MalformedResponse));
                 return;
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -32,6 +32,8 @@
     /** Header field that the response echoes from the request. A response with another value belongs to an earlier
      * request of the connection: it is dropped, and the client waits for the next one. */
     std::string echoedField{};
+    /** Called with each interim response (1xx) and each response that is dropped because of its echoedField. */
+    std::function<void(const HttpResponse &)> otherResponse{};
 };
 
 using HttpResult = tl::expected<HttpResponse, TransportError>;
--- a/src/mesh/autotests/servernoticetest.cpp
+++ b/src/mesh/autotests/servernoticetest.cpp
@@ -62,3 +62,45 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(100));
     CHECK(mesh.desk->handler.runs - before <= allowedRuns(RequestRate{1}, clock.now() - started));
 }
+
+TEST_CASE("MeshDaemon: a server that says in a response that it leaves gets no more requests from any daemon")
+{
+    // Guards against requests to a server whose heartbeat with the same news is late or lost.
+    Mesh mesh;
+    REQUIRE(mesh.report(*mesh.desk, mesh.desk->report(1, "ready")) == 200);
+    mesh.awaitStatus(200);
+    mesh.desk->handler.setNotice(HeaderName::kLeaving, "1");
+    CHECK(mesh.call("learns that the server leaves").status == 200);
+    const int before = mesh.desk->handler.runs;
+    // A heartbeat that was delayed, from before the server began to leave.
+    CHECK(mesh.report(*mesh.desk, mesh.desk->report(2, "ready")) == 200);
+    CHECK(mesh.call("late").status == 503);
+    CHECK(mesh.callFrom(*mesh.desk, "late, beside the server").status == 503);
+    CHECK(mesh.desk->handler.runs == before);
+}
+
+TEST_CASE("MeshDaemon: a server that leaves is not used again after a restart of its daemon, also without the store")
+{
+    // Guards against a restarted daemon that takes a delayed heartbeat for the present state of the server.
+    Mesh mesh;
+    REQUIRE(mesh.report(*mesh.desk, mesh.desk->report(1, "ready")) == 200);
+    mesh.awaitStatus(200);
+    const auto stored = mesh.store->get("backend-servers/desk-1");
+    REQUIRE(stored.has_value());
+    mesh.desk->handler.setNotice(HeaderName::kLeaving, "1");
+    CHECK(mesh.call("learns that the server leaves").status == 200);
+    for (int i = 0; i < 400 && mesh.store->get("backend-servers/desk-1")->value == stored->value; ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    // The store is left with the entry from before, as after a write that was lost.
+    const auto changed = mesh.store->get("backend-servers/desk-1");
+    REQUIRE(mesh.store->update("backend-servers/desk-1", stored->value, changed->version).has_value());
+    mesh.desk->restartDaemon();
+    const int before = mesh.desk->handler.runs;
+    CHECK(mesh.report(*mesh.desk, mesh.desk->report(2, "ready")) == 200);
+    for (int i = 0; i < 20; ++i) {
+        CHECK(mesh.call("late").status == 503);
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    CHECK(mesh.desk->handler.runs == before);
+}
--- a/src/mesh/meshdaemon.cpp
+++ b/src/mesh/meshdaemon.cpp
@@ -56,6 +56,7 @@
 
     bool mayServe() const override;
     std::optional<ErrorKind> refusal(const ServerName &target) const override;
+    bool isLeaving(const ServerName &target) const override;
 
     tl::expected<void, std::string> listen(const char *name, const HostAddress &address, HttpHandler &handler);
     bool adoptConfiguration(const std::string &value);
@@ -64,6 +65,7 @@
     void updateRoutingTable();
     void logServer() const;
     void serverChanged(CheckInResult result);
+    void markDraining(const ServerName &name, std::int64_t serverStartedAt);
     void withdrawLostServer();
     Millis coldLeft() const;
     void configureAdmission();
@@ -117,7 +119,15 @@
     , localServer(settings.service, settings.backend)
     , health(self, "/", client, clock)
     , gateway(self, tables, client, health, *this, *protocols.backend, clock)
-    , services{context, clock, self, tables, routing, random, client, gateway}
+    , services{context,
+               clock,
+               self,
+               tables,
+               routing,
+               random,
+               client,
+               gateway,
+               [this](const ServerView &server) { deployment.markDraining(server.name, server.startedAt); }}
     , calls(services, *protocols.callers, settings.service)
     , deployment(
           context.get_executor(), *protocols.store, client, clock, routingRandom,
@@ -126,7 +136,7 @@
            [this] { updateRoutingTable(); },
            [this](const ServerRegistration &entry) {
                if (entry.state == ServerState::Draining) {
-                   localServer.markDraining(entry.name, entry.startedAt);
+                   markDraining(entry.name, entry.startedAt);
                }
            },
            [this] { return ownRegistration(); },
@@ -160,6 +170,11 @@
           std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
               .count())
 {
+    gateway.setLeavingCallback([this] {
+        if (const std::optional<CheckIn> &server = localServer.current()) {
+            markDraining(server->name, server->startedAt);
+        }
+    });
     health.setCallbacks([this](bool healthy) { gateway.setServerHealthy(healthy, coldLeft()); },
                         [this](const std::vector<Signature> &inFlight) { onCrash(inFlight); },
                         [this](const HttpResponse &response) { gateway.healthCheckEnded(response); });
@@ -175,6 +190,11 @@
     return detached ? std::optional(ErrorKind::Draining) : localServer.refusal(target);
 }
 
+bool MeshDaemon::Private::isLeaving(const ServerName &target) const
+{
+    return localServer.isDraining(target);
+}
+
 tl::expected<void, std::string> MeshDaemon::Private::listen(const char *name, const HostAddress &address,
                                                             HttpHandler &handler)
 {
@@ -282,6 +302,15 @@
     gateway.recheckQueue();
 }
 
+/** Stops new work for the local server if it is the process that started at @p serverStartedAt. */
+void MeshDaemon::Private::markDraining(const ServerName &name, std::int64_t serverStartedAt)
+{
+    if (localServer.markDraining(name, serverStartedAt)) {
+        serverChanged(CheckInResult::Changed);
+        deployment.publish();
+    }
+}
+
 /** Withdraws the entries of a server that has refused connections for so long that it counts as lost for good. A server
  * that is only silent or slow still accepts connections. */
 void MeshDaemon::Private::withdrawLostServer()
