Log the era of the store, and a configuration that is read and left

The store's responses name the number of its history, which rises when it comes back from an older copy. Daemons log a change (3204) and a configuration that they read and do not take (3104, with both revisions). The in-memory store can keep a copy and return to it.

--- a/src/core/logevent.cpp
+++ b/src/core/logevent.cpp
@@ -19,7 +19,7 @@
 namespace
 {
 
-constexpr std::array<LogEventInfo, 27> kEvents{{
+constexpr std::array<LogEventInfo, 29> kEvents{{
     {LogEvent::DaemonStarted, "daemon-started", Severity::Info},
     {LogEvent::DaemonDraining, "daemon-draining", Severity::Info},
     {LogEvent::DaemonStopped, "daemon-stopped", Severity::Info},
@@ -42,9 +42,11 @@
     {LogEvent::RequestCancelled, "request-cancelled", Severity::Info, true},
     {LogEvent::ConfigurationAdopted, "configuration-adopted", Severity::Info},
     {LogEvent::ConfigurationRejected, "configuration-rejected", Severity::Error},
+    {LogEvent::ConfigurationKept, "configuration-kept", Severity::Info, true},
     {LogEvent::PlatformUnavailable, "platform-unavailable", Severity::Warning},
     {LogEvent::PlatformAvailable, "platform-available", Severity::Info},
     {LogEvent::ServerChanged, "server-changed", Severity::Info},
+    {LogEvent::StoreEraChanged, "store-era-changed", Severity::Warning},
     {LogEvent::CheckInRejected, "check-in-rejected", Severity::Warning, true},
     {LogEvent::RegistrationRejected, "registration-rejected", Severity::Warning, true},
 }};
--- a/src/core/logevent.h
+++ b/src/core/logevent.h
@@ -34,9 +34,11 @@
     RequestCancelled = 2216,
     ConfigurationAdopted = 3101,
     ConfigurationRejected = 3103,
+    ConfigurationKept = 3104,
     PlatformUnavailable = 3201,
     PlatformAvailable = 3202,
     ServerChanged = 3203,
+    StoreEraChanged = 3204,
     CheckInRejected = 3301,
     RegistrationRejected = 3302,
 };
--- a/src/discovery/deploymentsync.cpp
+++ b/src/discovery/deploymentsync.cpp
@@ -196,6 +196,9 @@
 void DeploymentSync::adoptConfiguration(const std::string &value, std::uint64_t version)
 {
     if (version <= configurationVersion_ || !callbacks_.adoptConfiguration(value, version)) {
+        if (value != configuration_) {
+            logEvent(LogEvent::ConfigurationKept, "", {{"read", version}, {"inForce", configurationVersion_}});
+        }
         return;
     }
     configuration_ = value;
@@ -214,6 +217,7 @@
 
 void DeploymentSync::handleServerListing(const ObjectListing &listing)
 {
+    noticeEra(listing.era);
     std::vector<DirectoryEntry> entries;
     ownEntries_.clear();
     for (const KeyedObject &entry : listing.objects) {
@@ -229,6 +233,7 @@
 
 void DeploymentSync::handleServerChanges(const ChangeBatch &batch)
 {
+    noticeEra(batch.era);
     for (const ObjectChange &change : batch.changes) {
         if (change.removed) {
             directory_.remove(serverOf(change.key), change.revision);
@@ -241,6 +246,14 @@
     callbacks_.directoryChanged();
 }
 
+void DeploymentSync::noticeEra(std::uint64_t era)
+{
+    const std::uint64_t before = std::exchange(era_, era);
+    if (before != 0 && before != era) {
+        logEvent(LogEvent::StoreEraChanged, "", {{"before", before}, {"after", era}});
+    }
+}
+
 void DeploymentSync::handleOwnEntry(const ServerRegistration &registration)
 {
     if (registration.daemon != settings_.self) {
--- a/src/discovery/deploymentsync.h
+++ b/src/discovery/deploymentsync.h
@@ -80,6 +80,7 @@
     void handleServerListing(const ObjectListing &listing);
     void handleServerChanges(const ChangeBatch &batch);
     std::optional<ServerRegistration> readRegistration(const std::string &key, const std::string &value) const;
+    void noticeEra(std::uint64_t era);
     void handleOwnEntry(const ServerRegistration &registration);
     void setStoreAvailable(const char *watch, bool &state, bool available);
     DirectoryMessage createMessage(const DirectoryMessage *other);
@@ -95,6 +96,7 @@
     std::set<ServerName> ownEntries_; ///< Servers whose registrations contain this daemon's address.
     std::string configuration_; ///< Configuration in force, in its stored form.
     std::uint64_t configurationVersion_ = 0;
+    std::uint64_t era_ = 0; ///< Of the store; 0 if it names none.
     bool hasNewCrashReports_ = false; ///< They are propagated when exchangeTimer_ expires next.
     bool isConfigurationWatchAvailable_ = true; ///< The store responds to the watch.
     bool isDirectoryWatchAvailable_ = true;
--- a/src/platform/memoryobjectstore.cpp
+++ b/src/platform/memoryobjectstore.cpp
@@ -42,8 +42,8 @@
 StoreResult<StoredObject> MemoryObjectStore::get(const std::string &key)
 {
     return read<StoredObject>([&]() -> StoreResult<StoredObject> {
-        const auto found = objects_.find(key);
-        if (found == objects_.end()) {
+        const auto found = state_.objects.find(key);
+        if (found == state_.objects.end()) {
             return tl::unexpected(StoreError::NotFound);
         }
         return found->second;
@@ -59,7 +59,7 @@
                                                      std::uint64_t expectedVersion)
 {
     return write<std::uint64_t>([&]() -> StoreResult<std::uint64_t> {
-        if (!objects_.contains(key)) {
+        if (!state_.objects.contains(key)) {
             return tl::unexpected(StoreError::NotFound);
         }
         return put(key, value, expectedVersion);
@@ -70,8 +70,8 @@
 {
     return read<std::vector<ListedObject>>([&]() -> StoreResult<std::vector<ListedObject>> {
         std::vector<ListedObject> listed;
-        for (auto entry = objects_.lower_bound(prefix); entry != objects_.end() && entry->first.starts_with(prefix);
-             ++entry) {
+        for (auto entry = state_.objects.lower_bound(prefix);
+             entry != state_.objects.end() && entry->first.starts_with(prefix); ++entry) {
             listed.push_back({entry->first, entry->second.version});
         }
         return listed;
@@ -82,9 +82,9 @@
 {
     return read<ObjectListing>([&]() -> StoreResult<ObjectListing> {
         const std::string prefix = prefixOf(kind);
-        ObjectListing listing{{}, revision_};
-        for (auto entry = objects_.lower_bound(prefix); entry != objects_.end() && entry->first.starts_with(prefix);
-             ++entry) {
+        ObjectListing listing{{}, state_.revision, era_};
+        for (auto entry = state_.objects.lower_bound(prefix);
+             entry != state_.objects.end() && entry->first.starts_with(prefix); ++entry) {
             listing.objects.push_back({entry->first, entry->second});
         }
         return listing;
@@ -99,12 +99,12 @@
         return tl::unexpected(StoreError::Unavailable);
     }
     changed_.wait_for(lock, toChrono(timeout), [&] {
-        return !isReachable() || revision < historyStart_ || !changesOf(kind, revision).changes.empty();
+        return !isReachable() || isHistoryLost(revision) || !changesOf(kind, revision).changes.empty();
     });
     if (!isReachable()) {
         return tl::unexpected(StoreError::Unavailable);
     }
-    if (revision < historyStart_) {
+    if (isHistoryLost(revision)) {
         return tl::unexpected(StoreError::HistoryLost);
     }
     return changesOf(kind, revision);
@@ -113,16 +113,16 @@
 StoreResult<void> MemoryObjectStore::remove(const std::string &key, std::uint64_t expectedVersion)
 {
     return write<void>([&]() -> StoreResult<void> {
-        const auto found = objects_.find(key);
-        if (found == objects_.end()) {
+        const auto found = state_.objects.find(key);
+        if (found == state_.objects.end()) {
             return tl::unexpected(StoreError::NotFound);
         }
         if (found->second.version != expectedVersion) {
             return tl::unexpected(StoreError::Conflict);
         }
-        removedVersions_[key] = expectedVersion;
+        state_.removedVersions[key] = expectedVersion;
         recordChange(key, found->second, true);
-        objects_.erase(found);
+        state_.objects.erase(found);
         return {};
     });
 }
@@ -130,27 +130,46 @@
 void MemoryObjectStore::dropHistory()
 {
     const Lock lock(mutex_);
-    history_.clear();
-    historyStart_ = revision_;
+    state_.history.clear();
+    state_.historyStart = state_.revision;
     changed_.notify_all();
 }
 
+void MemoryObjectStore::saveCopy()
+{
+    const Lock lock(mutex_);
+    copy_ = state_;
+}
+
+void MemoryObjectStore::returnToCopy()
+{
+    const Lock lock(mutex_);
+    state_ = copy_;
+    ++era_;
+    changed_.notify_all();
+}
+
+bool MemoryObjectStore::isHistoryLost(std::uint64_t revision) const
+{
+    return revision < state_.historyStart || revision > state_.revision;
+}
+
 void MemoryObjectStore::recordChange(const std::string &key, const StoredObject &object, bool removed)
 {
-    ++revision_;
-    history_.push_back({key, object, removed, revision_});
-    if (history_.size() > kHistoryLength) {
-        historyStart_ = history_.front().revision;
-        history_.pop_front();
+    ++state_.revision;
+    state_.history.push_back({key, object, removed, state_.revision});
+    if (state_.history.size() > kHistoryLength) {
+        state_.historyStart = state_.history.front().revision;
+        state_.history.pop_front();
     }
     changed_.notify_all();
 }
 
 ChangeBatch MemoryObjectStore::changesOf(const std::string &kind, std::uint64_t revision) const
 {
-    ChangeBatch batch{{}, revision_};
+    ChangeBatch batch{{}, state_.revision, era_};
     const std::string prefix = prefixOf(kind);
-    for (const ObjectChange &change : history_) {
+    for (const ObjectChange &change : state_.history) {
         if (change.revision > revision && change.key.starts_with(prefix)) {
             batch.changes.push_back(change);
         }
@@ -213,15 +232,16 @@
     if (value.size() > kMaximumValueBytes) {
         return tl::unexpected(StoreError::TooLarge);
     }
-    const auto found = objects_.find(key);
-    const std::uint64_t version = found == objects_.end() ? 0 : found->second.version;
+    const auto found = state_.objects.find(key);
+    const std::uint64_t version = found == state_.objects.end() ? 0 : found->second.version;
     if (version != expectedVersion) {
         return tl::unexpected(StoreError::Conflict);
     }
-    const auto removed = removedVersions_.find(key);
-    const std::uint64_t next = (removed == removedVersions_.end() ? version : std::max(version, removed->second)) + 1;
-    objects_[key] = {value, next};
-    recordChange(key, objects_[key], false);
+    const auto removed = state_.removedVersions.find(key);
+    const std::uint64_t next =
+        (removed == state_.removedVersions.end() ? version : std::max(version, removed->second)) + 1;
+    state_.objects[key] = {value, next};
+    recordChange(key, state_.objects[key], false);
     return next;
 }
 
--- a/src/platform/memoryobjectstore.h
+++ b/src/platform/memoryobjectstore.h
@@ -38,9 +38,23 @@
     StoreResult<void> remove(const std::string &key, std::uint64_t expectedVersion) override;
     /** Discards the change history, as a store with a short history does. */
     void dropHistory();
+    /** Keeps a copy of the present state, for returnToCopy(). */
+    void saveCopy();
+    /** Goes back to the copy, as a store that lost what it acknowledged since, and begins another era. */
+    void returnToCopy();
     void interrupt() override;
 
 private:
+    /** What a copy of the store contains. */
+    struct State {
+        std::map<std::string, StoredObject> objects;
+        /** Last versions of removed keys; the version of a new object with the key is one higher. */
+        std::map<std::string, std::uint64_t> removedVersions;
+        std::deque<ObjectChange> history; ///< All changes after historyStart.
+        std::uint64_t historyStart = 0;
+        std::uint64_t revision = 0;
+    };
+
     using Lock = std::unique_lock<std::mutex>;
 
     template<class T, class Action>
@@ -50,6 +64,8 @@
     /** Waits for the simulated delay, at most the call timeout; false if the call timed out. */
     bool simulateDelay(Lock &lock);
     bool isReachable() const;
+    /** Whether the store no longer has, or never had, the changes after @p revision. */
+    bool isHistoryLost(std::uint64_t revision) const;
     StoreResult<std::uint64_t> put(const std::string &key, const std::string &value, std::uint64_t expectedVersion);
     void recordChange(const std::string &key, const StoredObject &object, bool removed);
     ChangeBatch changesOf(const std::string &kind, std::uint64_t revision) const;
@@ -59,12 +75,9 @@
     std::condition_variable changed_;
     StoreFaults faults_;
     bool interrupted_ = false;
-    std::map<std::string, StoredObject> objects_;
-    /** Last versions of removed keys; the version of a new object with the key is one higher. */
-    std::map<std::string, std::uint64_t> removedVersions_;
-    std::deque<ObjectChange> history_; ///< All changes after historyStart_.
-    std::uint64_t historyStart_ = 0;
-    std::uint64_t revision_ = 0;
+    State state_;
+    State copy_; ///< For returnToCopy().
+    std::uint64_t era_ = 1;
 };
 
 } // namespace Hibiscus
--- a/src/platform/objectstore.h
+++ b/src/platform/objectstore.h
@@ -39,10 +39,22 @@
     StoredObject object;
 };
 
+/**
+ * Revision of the store within one of its histories. A store that came back from an older copy of itself begins another
+ * era, in which it gives out revisions again that it had given out before.
+ */
+struct StoreRevision {
+    std::uint64_t era = 0; ///< 0 if the store names none.
+    std::uint64_t number = 0;
+
+    friend constexpr auto operator<=>(StoreRevision, StoreRevision) = default;
+};
+
 /** All objects of a kind. */
 struct ObjectListing {
     std::vector<KeyedObject> objects;
     std::uint64_t revision = 0; ///< Revision of the store; a watch from it misses no change.
+    std::uint64_t era = 0; ///< Of the store; 0 if it names none.
 };
 
 /** Change of one object. */
@@ -57,6 +69,7 @@
 struct ChangeBatch {
     std::vector<ObjectChange> changes;
     std::uint64_t revision = 0; ///< Revision of the store from which the next watch continues.
+    std::uint64_t era = 0; ///< Of the store; 0 if it names none.
 };
 
 /**
