Test that fails: a configuration written after the store came back older is taken

The store returns to a copy; the next configuration has a lower revision than the one in force and is left for good.

--- a/src/discovery/autotests/deploymentsynctest.cpp
+++ b/src/discovery/autotests/deploymentsynctest.cpp
@@ -5,6 +5,7 @@
 #include "http/httpserver.h"
 #include "platform/autotests/sharedobjectstore.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -40,8 +41,8 @@
               4,
               ServerState::Ready}
         , sync(context.get_executor(), store_, client, clock_, random_, {address_, kConfigurationKey, {}},
-               {[](const std::string &, std::uint64_t) { return true; }, [] {}, [](const ServerRegistration &) {},
-                [this] { return std::optional(own); }, [this] { return crashes; },
+               {[this](const std::string &value, std::uint64_t) { return adoptConfiguration(value); }, [] {},
+                [](const ServerRegistration &) {}, [this] { return std::optional(own); }, [this] { return crashes; },
                 [this](const std::vector<CrashReport> &reports) { return mergeCrashes(reports); }})
     {
     }
@@ -51,6 +52,16 @@
         respond({200, {}, sync.handleRequest(request.body)});
     }
 
+    /** Takes numbers that are higher than the one in force. */
+    bool adoptConfiguration(const std::string &value)
+    {
+        if (!configuration.empty() && std::stoi(value) <= std::stoi(configuration)) {
+            return false;
+        }
+        configuration = value;
+        return true;
+    }
+
     bool mergeCrashes(const std::vector<CrashReport> &reports)
     {
         const bool isNew = crashes.empty() && !reports.empty();
@@ -61,6 +72,7 @@
     }
 
     std::vector<CrashReport> crashes;
+    std::string configuration; ///< In force.
 
 private:
     SteadyClock clock_;
@@ -108,6 +120,17 @@
         }
     }
 
+    /** The same, but gives up after a time that no sound run needs; whether @p isReached holds then. */
+    bool runFor(const std::function<bool()> &isReached)
+    {
+        const SteadyClock clock;
+        const TimePoint end = clock.now() + Millis{20000};
+        while (!isReached() && clock.now() < end) {
+            context.run_one_for(std::chrono::milliseconds(20));
+        }
+        return isReached();
+    }
+
     std::size_t receiverCount() const
     {
         std::size_t count = 0;
@@ -166,3 +189,28 @@
     deployment.runUntil([&] { return deployment.receiverCount() >= kExpectedReceivers; });
     CHECK(deployment.receiverCount() >= kExpectedReceivers);
 }
+
+TEST_CASE(
+    "DeploymentSync: a configuration written after the store came back older is taken, though its revision is lower"
+    * doctest::should_fail())
+{
+    // Guards against revisions of a lost history that are compared with those of the present one.
+    Deployment deployment(2);
+    deployment.start();
+    const auto isInForce = [&](const std::string &value) {
+        return deployment.runFor([&] {
+            return std::all_of(deployment.nodes.begin(), deployment.nodes.end(),
+                               [&](const auto &node) { return node->configuration == value; });
+        });
+    };
+    REQUIRE(isInForce("1"));
+    deployment.store->saveCopy();
+    std::uint64_t version = 1;
+    for (const char *value : {"2", "3", "4"}) {
+        version = *deployment.store->update(kConfigurationKey, value, version);
+        REQUIRE(isInForce(value));
+    }
+    deployment.store->returnToCopy();
+    CHECK(*deployment.store->update(kConfigurationKey, "5", 1) < version);
+    CHECK(isInForce("5"));
+}
