Compare revisions of the store only within one of its histories

Cause: state was ordered by the bare revision, and the store gives revisions out again after such a return. The class: numbers of one history compared with those of another.

The same cause elsewhere, all changed: directory entries and removals, watch positions that the new history has overtaken (no 410 then), digests and entries in exchanges, versions for conditional writes of registrations, and the choice of a configuration in an exchange. A revision is now a pair of era and number. Watchers list anew in a later era and drop late responses of an earlier one; configurations of different eras are ordered by their content (own version, or the changes that they list). Daemons write again what the store lost of their own servers, remove again what they had removed, and exchange for 3 s after a return and after their start, so that a restarted one learns of the configuration in force. A delayed write of this process that undoes a later one is written again.

--- a/src/config/autotests/configurationtest.cpp
+++ b/src/config/autotests/configurationtest.cpp
@@ -109,3 +109,21 @@
     settings->server = ServerName("desk-9");
     CHECK(check.checkAgainst(*settings, kitami.inventory).at(0).location == "/server");
 }
+
+TEST_CASE("Configuration: a predecessor is recognized by the changes that its successors list")
+{
+    // Guards against an older copy that is taken for a later configuration because versions were given out again.
+    const auto withChanges = [](const std::vector<std::string> &ids) {
+        Configuration configuration;
+        for (const std::string &id : ids) {
+            configuration.audit.push_back({id, "a", "s", 0, ConfigVersion(0), ConfigVersion(0)});
+        }
+        return configuration;
+    };
+    const Configuration copy = withChanges({"1", "2"});
+    CHECK(isPredecessor(copy, withChanges({"1", "2", "3"})));
+    CHECK(isPredecessor(copy, copy));
+    CHECK_FALSE(isPredecessor(withChanges({"1", "2", "other"}), withChanges({"1", "2", "3"})));
+    CHECK(isPredecessor(withChanges({}), copy));
+    CHECK_FALSE(isPredecessor(copy, withChanges({})));
+}
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -1,5 +1,7 @@
 #include "config/configuration.h"
 
+#include <algorithm>
+
 #include "config/inventoryjson.h"
 #include "config/jsontext.h"
 #include "config/objectreader.h"
@@ -47,6 +49,16 @@
 
 } // namespace
 
+bool isPredecessor(const Configuration &earlier, const Configuration &later)
+{
+    if (earlier.audit.empty()) {
+        return true;
+    }
+    const std::string &lastChange = earlier.audit.back().changeId;
+    return std::any_of(later.audit.begin(), later.audit.end(),
+                       [&lastChange](const AuditEntry &entry) { return entry.changeId == lastChange; });
+}
+
 std::string serializeConfiguration(const Configuration &configuration)
 {
     json audit = json::array();
--- a/src/config/configuration.h
+++ b/src/config/configuration.h
@@ -47,6 +47,9 @@
     friend bool operator==(const Configuration &, const Configuration &) = default;
 };
 
+/** Whether @p later was made from @p earlier, as far as its audit entries reach back. */
+bool isPredecessor(const Configuration &earlier, const Configuration &later);
+
 /** JSON text of the object `config`; inventory and rules have the format of their files. */
 std::string serializeConfiguration(const Configuration &configuration);
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -34,6 +34,21 @@
 constexpr Millis kHealthTick{200};
 constexpr Millis kTableTick{1000};
 
+/** Whether @p configuration was written later than @p inForce. The store's versions don't tell across its histories,
+ * but each configuration lists the changes that led to it. */
+bool isLater(const Configuration &configuration, const Configuration &inForce, StoreHistory history)
+{
+    switch (history) {
+    case StoreHistory::Same:
+        return true;
+    case StoreHistory::Later:
+        return !isPredecessor(configuration, inForce);
+    case StoreHistory::Earlier:
+        return isPredecessor(inForce, configuration);
+    }
+    return false;
+}
+
 /** Time of day in Unix milliseconds. */
 std::int64_t unixTimeNow()
 {
@@ -64,7 +79,7 @@
 
     tl::expected<void, std::string> openListener(const char *name, HttpServer &server);
     void startTimers();
-    bool installConfiguration(const std::string &text, std::uint64_t version);
+    bool installConfiguration(const std::string &text, std::uint64_t version, StoreHistory history);
     void updateRoutes();
     std::optional<ServerRegistration> ownRegistration() const;
     void checkSuperseded(const ServerRegistration &entry);
@@ -127,7 +142,9 @@
     , strand(asio::make_strand(context))
     , deployment(
           strand, store, client, clock, exchangeRandom, {settings.peers, kConfigurationKey, settings.seeds},
-          {[this](const std::string &text, std::uint64_t version) { return installConfiguration(text, version); },
+          {[this](const std::string &text, std::uint64_t version, StoreHistory history) {
+               return installConfiguration(text, version, history);
+           },
            [this] { updateRoutes(); }, [this](const ServerRegistration &entry) { checkSuperseded(entry); },
            [this] { return ownRegistration(); },
            [this] { return tables.crashes.with([](const CrashLedger &crashes) { return crashes.exportLatest(); }); },
@@ -204,7 +221,7 @@
     return target == self.server && serverLeaving;
 }
 
-bool Daemon::Private::installConfiguration(const std::string &text, std::uint64_t version)
+bool Daemon::Private::installConfiguration(const std::string &text, std::uint64_t version, StoreHistory history)
 {
     auto parsed = parseConfiguration(text);
     if (!parsed) {
@@ -212,6 +229,10 @@
                  "version " + std::to_string(version) + ": " + formatConfigErrors(parsed.error()));
         return false;
     }
+    const ConfigurationPtr inForce = tables.configuration.current();
+    if (inForce && !isLater(*parsed, *inForce, history)) {
+        return false;
+    }
     parsed->version = ConfigVersion(version);
     auto configuration = std::make_shared<Configuration>(std::move(*parsed));
     const BackendServerEntry *own = findServer(configuration->inventory, settings.server);
--- a/src/directory/serverdirectory.cpp
+++ b/src/directory/serverdirectory.cpp
@@ -1,6 +1,7 @@
 #include "directory/serverdirectory.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace Hibiscus
@@ -15,14 +16,14 @@
 
 } // namespace
 
-bool ServerDirectory::isNewer(const ServerName &name, std::uint64_t revision) const
+bool ServerDirectory::isNewer(const ServerName &name, StoreRevision revision) const
 {
     const auto entry = entries_.find(name);
     if (entry != entries_.end() && entry->second.revision >= revision) {
         return false;
     }
     const auto removal = removed_.find(name);
-    return removal == removed_.end() || removal->second <= revision;
+    return removal == removed_.end() || removal->second.revision <= revision;
 }
 
 /** Remembers a process that drains, and lets any other registration of it say so as well. */
@@ -46,7 +47,7 @@
     return std::exchange(known->second.registration.state, ServerState::Draining) != ServerState::Draining;
 }
 
-bool ServerDirectory::apply(const ServerRegistration &registration, std::uint64_t revision)
+bool ServerDirectory::apply(const ServerRegistration &registration, StoreRevision revision)
 {
     if (!isNewer(registration.name, revision)) {
         return false;
@@ -64,7 +65,7 @@
         if (removed_.contains(received.name)) {
             return false;
         }
-        entries_.emplace(received.name, DirectoryEntry{withKnownState(received), 0});
+        entries_.emplace(received.name, DirectoryEntry{withKnownState(received), {}});
         return true;
     }
     const ServerRegistration old = known->second.registration;
@@ -80,39 +81,62 @@
     return true;
 }
 
-bool ServerDirectory::remove(const ServerName &name, std::uint64_t revision)
+bool ServerDirectory::remove(const ServerName &name, StoreRevision revision)
 {
     if (!isNewer(name, revision)) {
         return false;
     }
-    const bool wasKnown = entries_.erase(name) > 0;
+    Removal removal{revision, Incarnation(0)};
+    const auto known = entries_.find(name);
+    const bool wasKnown = known != entries_.end();
+    if (wasKnown) {
+        removal.incarnation = known->second.registration.incarnation;
+        entries_.erase(known);
+    }
     if (removed_.size() >= kMaximumRemovals) {
-        removed_.erase(std::min_element(removed_.begin(), removed_.end(),
-                                        [](const auto &a, const auto &b) { return a.second < b.second; }));
+        removed_.erase(std::min_element(removed_.begin(), removed_.end(), [](const auto &a, const auto &b) {
+            return a.second.revision < b.second.revision;
+        }));
     }
-    removed_.insert_or_assign(name, revision);
+    removed_.insert_or_assign(name, removal);
     return wasKnown;
 }
 
-void ServerDirectory::replace(const std::vector<DirectoryEntry> &entries, std::uint64_t revision)
+/** Whether an entry of a listing is the one that was removed in an earlier era, and not written since. */
+bool ServerDirectory::isFormer(const DirectoryEntry &listed) const
+{
+    const auto removal = removed_.find(listed.registration.name);
+    return removal != removed_.end() && removal->second.revision.era < listed.revision.era
+        && removal->second.incarnation == listed.registration.incarnation;
+}
+
+void ServerDirectory::replace(const std::vector<DirectoryEntry> &entries, StoreRevision revision)
 {
-    std::map<ServerName, bool> listed;
+    std::set<ServerName> listed;
     for (const DirectoryEntry &entry : entries) {
-        listed[entry.registration.name] = true;
-        apply(entry.registration, entry.revision);
+        listed.insert(entry.registration.name);
+        if (!isFormer(entry)) {
+            apply(entry.registration, entry.revision);
+        }
     }
     std::vector<ServerName> missing;
     for (const auto &[name, entry] : entries_) {
-        if (!listed.contains(name) && entry.revision <= revision) {
+        const bool mayBeMissing = entry.revision.era == revision.era || entry.revision.number == 0;
+        if (!listed.contains(name) && mayBeMissing && entry.revision <= revision) {
             missing.push_back(name);
         }
     }
     for (const ServerName &name : missing) {
         // remove() needs a revision above that of the entry, which may be the revision of the listing.
-        remove(name, revision + 1);
+        remove(name, {revision.era, revision.number + 1});
     }
 }
 
+bool ServerDirectory::removeUnconfirmed(std::uint64_t era)
+{
+    return std::erase_if(entries_, [era](const auto &entry) { return entry.second.revision.era < era; }) > 0;
+}
+
 const DirectoryEntry *ServerDirectory::find(const ServerName &name) const
 {
     const auto found = entries_.find(name);
--- a/src/discovery/autotests/deploymentsynctest.cpp
+++ b/src/discovery/autotests/deploymentsynctest.cpp
@@ -41,8 +41,9 @@
               4,
               ServerState::Ready}
         , sync(context.get_executor(), store_, client, clock_, random_, {address_, kConfigurationKey, {}},
-               {[this](const std::string &value, std::uint64_t) { return adoptConfiguration(value); }, [] {},
-                [](const ServerRegistration &) {}, [this] { return std::optional(own); }, [this] { return crashes; },
+               {[this](const std::string &value, std::uint64_t, StoreHistory) { return adoptConfiguration(value); },
+                [] {}, [](const ServerRegistration &) {}, [this] { return std::optional(own); },
+                [this] { return crashes; },
                 [this](const std::vector<CrashReport> &reports) { return mergeCrashes(reports); }})
     {
     }
@@ -191,8 +192,7 @@
 }
 
 TEST_CASE(
-    "DeploymentSync: a configuration written after the store came back older is taken, though its revision is lower"
-    * doctest::should_fail())
+    "DeploymentSync: a configuration written after the store came back older is taken, though its revision is lower")
 {
     // Guards against revisions of a lost history that are compared with those of the present one.
     Deployment deployment(2);
@@ -214,3 +214,61 @@
     CHECK(*deployment.store->update(kConfigurationKey, "5", 1) < version);
     CHECK(isInForce("5"));
 }
+
+TEST_CASE(
+    "DeploymentSync: a store that comes back older twice gets back what daemons wrote, and nothing that was removed")
+{
+    // Guards against servers that vanish, or that come back, with the copy of the store.
+    Deployment deployment(2);
+    Node &node = *deployment.nodes.front();
+    const std::string key = registrationKey(node.own.name);
+    const auto isStored = [&](const ServerState state) {
+        const auto stored = deployment.store->get(key);
+        return stored && parseRegistration(node.own.name, stored->value)->state == state;
+    };
+    const auto stays = [&] {
+        return std::all_of(deployment.nodes.begin(), deployment.nodes.end(),
+                           [](const auto &each) { return each->sync.directory().entries().size() == 2; });
+    };
+    deployment.store->saveCopy();
+    deployment.start();
+    REQUIRE(deployment.runFor([&] { return isStored(ServerState::Ready) && stays(); }));
+    // Back to a store that has never had the registrations.
+    deployment.store->returnToCopy();
+    CHECK(deployment.runFor([&] {
+        CHECK(stays());
+        return isStored(ServerState::Ready);
+    }));
+    deployment.store->saveCopy();
+    node.own.state = ServerState::Draining;
+    node.sync.publish();
+    const ServerDirectory &seenByOther = deployment.nodes.back()->sync.directory();
+    const auto isDrainingForOther = [&] {
+        return seenByOther.find(node.own.name)->registration.state == ServerState::Draining;
+    };
+    REQUIRE(deployment.runFor([&] { return isStored(ServerState::Draining) && isDrainingForOther(); }));
+    // Back to one in which the draining server is ready.
+    deployment.store->returnToCopy();
+    CHECK(deployment.runFor([&] {
+        CHECK(isDrainingForOther());
+        return isStored(ServerState::Draining);
+    }));
+}
+
+TEST_CASE("DeploymentSync: a daemon that starts beside a store that came back older learns the configuration in force")
+{
+    // Guards against a restarted daemon that works by an older configuration while the others keep the confirmed one.
+    Deployment deployment(2);
+    deployment.store->saveCopy();
+    Node &early = *deployment.nodes.front();
+    early.sync.publish();
+    early.sync.start();
+    REQUIRE(deployment.store->update(kConfigurationKey, "2", 1).has_value());
+    REQUIRE(deployment.runFor([&] { return early.configuration == "2"; }));
+    deployment.store->returnToCopy();
+    Node &late = *deployment.nodes.back();
+    late.sync.publish();
+    late.sync.start();
+    CHECK(deployment.runFor([&] { return late.configuration == "2"; }));
+    CHECK(early.configuration == "2");
+}
--- a/src/discovery/autotests/storewatchertest.cpp
+++ b/src/discovery/autotests/storewatchertest.cpp
@@ -22,6 +22,7 @@
 {
 public:
     std::vector<StoreResult<ChangeBatch>> watches;
+    std::vector<std::uint64_t> listingEras; ///< Of the listings in turn; the others name none.
     std::vector<Millis> waits;
     int listings = 0;
     int rechecks = 0;
@@ -33,8 +34,9 @@
             ++rechecks;
             return ObjectListing{};
         }
-        ++listings;
-        return ObjectListing{{}, static_cast<std::uint64_t>(10 * listings)};
+        const auto index = static_cast<std::size_t>(listings++);
+        const std::uint64_t era = index < listingEras.size() ? listingEras[index] : 0;
+        return ObjectListing{{}, static_cast<std::uint64_t>(10 * listings), era};
     }
     StoreResult<ChangeBatch> watchKind(const std::string &, std::uint64_t, Millis timeout, ReadMode) override
     {
@@ -162,3 +164,21 @@
         CHECK(store.rechecks == 1);
     }
 }
+
+TEST_CASE("StoreWatcher: a response of a later era leads to a new listing, and one of an earlier era to nothing")
+{
+    // Guards against a watch that goes on from a position of a lost history, which the present one has overtaken.
+    ScriptedStore store;
+    store.listingEras = {1, 1, 2};
+    ChangeBatch returned = changeAt(25);
+    returned.era = 2;
+    ChangeBatch late = changeAt(26);
+    late.era = 1;
+    ChangeBatch unnamed = changeAt(31);
+    store.watches = {returned, late, unnamed};
+    const Observed observed = observe(store);
+    // The first listing, one that is late itself, and the one of the later era.
+    CHECK(store.listings == 3);
+    CHECK(observed.listed == 2);
+    CHECK(observed.changed == 1);
+}
--- a/src/discovery/deploymentsync.cpp
+++ b/src/discovery/deploymentsync.cpp
@@ -3,6 +3,7 @@
 #include "core/chronotime.h"
 #include "core/logevent.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Hibiscus
@@ -18,6 +19,12 @@
 /** Each call is charged, and changes of the configuration are rare. A call that is lost without a trace is made up for
  * by the recheck of the directory watch. */
 constexpr Millis kConfigurationWatchTimeout{25000};
+/** Time for which daemons exchange after their start, and after the store came back from an older copy: the store may
+ * then know less than the others. */
+constexpr Millis kSettlingTime{3000};
+/** Time within which daemons write again what a store that came back older has lost; longer than two directory watches.
+ */
+constexpr Millis kRewriteTime{6000};
 /** Bounds the time until an outage of the store, or a configuration missed by its own watch, is noticed. */
 constexpr Millis kDirectoryWatchTimeout{2000};
 
@@ -38,6 +45,7 @@
                                Callbacks callbacks)
     : executor_(std::move(executor))
     , store_(store)
+    , clock_(clock)
     , settings_(std::move(settings))
     , callbacks_(std::move(callbacks))
     , writer_(executor_, store)
@@ -61,6 +69,7 @@
            [this](bool available) { setStoreAvailable("backend server watch", isDirectoryWatchAvailable_, available); },
            [this](const ObjectListing &listing) { handleConfigurationListing(listing); }})
     , exchangeTimer_(executor_)
+    , unconfirmedTimer_(executor_)
 {
     for (const HostAddress &seed : settings_.seeds) {
         exchange_.addContact(seed);
@@ -69,6 +78,7 @@
 
 void DeploymentSync::start()
 {
+    exchangeUntil_ = clock_.now() + kSettlingTime;
     writer_.start();
     configurationWatcher_.start();
     directoryWatcher_.start();
@@ -79,6 +89,7 @@
 {
     stopped_ = true;
     exchangeTimer_.cancel();
+    unconfirmedTimer_.cancel();
     store_.interrupt();
     configurationWatcher_.stop();
     directoryWatcher_.stop();
@@ -95,7 +106,7 @@
         if (std::exchange(hasNewCrashReports_, false)) {
             exchange_.propagate();
         }
-        if (!isStoreAvailable() || !hasDirectory_ || configuration_.empty()) {
+        if (!isStoreAvailable() || !hasDirectory_ || configuration_.empty() || clock_.now() < exchangeUntil_) {
             exchange_.tick();
         }
         scheduleExchange();
@@ -111,6 +122,7 @@
     if (directory_.applyDirect(*own)) {
         callbacks_.directoryChanged();
     }
+    withdrawn_.erase(own->name);
     writer_.put(*own, std::move(done));
     if (!isStoreAvailable()) {
         exchange_.announce();
@@ -119,6 +131,7 @@
 
 void DeploymentSync::withdraw(const ServerName &name, RegistrationWriter::Done done)
 {
+    withdrawn_.insert(name);
     writer_.remove(name, std::move(done));
 }
 
@@ -126,7 +139,7 @@
 {
     for (const ServerName &name : ownEntries_) {
         if (name != current) {
-            writer_.remove(name);
+            withdraw(name);
         }
     }
 }
@@ -134,7 +147,7 @@
 void DeploymentSync::withdrawAllOwn()
 {
     for (const ServerName &name : ownEntries_) {
-        writer_.remove(name);
+        withdraw(name);
     }
 }
 
@@ -179,7 +192,7 @@
 {
     for (const KeyedObject &entry : listing.objects) {
         if (entry.key == settings_.configurationKey) {
-            adoptConfiguration(entry.object.value, entry.object.version);
+            adoptConfiguration(entry.object.value, {listing.era, entry.object.version});
         }
     }
 }
@@ -188,21 +201,29 @@
 {
     for (const ObjectChange &change : batch.changes) {
         if (change.key == settings_.configurationKey && !change.removed) {
-            adoptConfiguration(change.object.value, change.object.version);
+            adoptConfiguration(change.object.value, {batch.era, change.object.version});
         }
     }
 }
 
-void DeploymentSync::adoptConfiguration(const std::string &value, std::uint64_t version)
+void DeploymentSync::adoptConfiguration(const std::string &value, StoreRevision revision)
 {
-    if (version <= configurationVersion_ || !callbacks_.adoptConfiguration(value, version)) {
-        if (value != configuration_) {
-            logEvent(LogEvent::ConfigurationKept, "", {{"read", version}, {"inForce", configurationVersion_}});
-        }
+    if (value == configuration_) {
+        configurationRevision_ = std::max(configurationRevision_, revision);
+        return;
+    }
+    const StoreHistory history = historyOf(revision, configurationRevision_);
+    const bool isKnown = history == StoreHistory::Same && revision.number <= configurationRevision_.number;
+    if (isKnown || !callbacks_.adoptConfiguration(value, revision.number, history)) {
+        logEvent(LogEvent::ConfigurationKept, "",
+                 {{"read", revision.number},
+                  {"readEra", revision.era},
+                  {"inForce", configurationRevision_.number},
+                  {"inForceEra", configurationRevision_.era}});
         return;
     }
     configuration_ = value;
-    configurationVersion_ = version;
+    configurationRevision_ = revision;
 }
 
 std::optional<ServerRegistration> DeploymentSync::readRegistration(const std::string &key,
@@ -217,17 +238,21 @@
 
 void DeploymentSync::handleServerListing(const ObjectListing &listing)
 {
-    noticeEra(listing.era);
+    const bool cameBack = noticeEra(listing.era);
     std::vector<DirectoryEntry> entries;
     ownEntries_.clear();
     for (const KeyedObject &entry : listing.objects) {
         if (const auto registration = readRegistration(entry.key, entry.object.value)) {
-            entries.push_back({*registration, entry.object.version});
+            entries.push_back({*registration, {listing.era, entry.object.version}});
             handleOwnEntry(*registration);
         }
     }
-    directory_.replace(entries, listing.revision);
+    directory_.replace(entries, {listing.era, listing.revision});
     hasDirectory_ = true;
+    if (cameBack) {
+        writeAgain(listing);
+        removeUnconfirmedLater();
+    }
     callbacks_.directoryChanged();
 }
 
@@ -236,22 +261,54 @@
     noticeEra(batch.era);
     for (const ObjectChange &change : batch.changes) {
         if (change.removed) {
-            directory_.remove(serverOf(change.key), change.revision);
+            directory_.remove(serverOf(change.key), {batch.era, change.revision});
             ownEntries_.erase(serverOf(change.key));
         } else if (const auto registration = readRegistration(change.key, change.object.value)) {
-            directory_.apply(*registration, change.revision);
+            directory_.apply(*registration, {batch.era, change.revision});
             handleOwnEntry(*registration);
         }
     }
     callbacks_.directoryChanged();
 }
 
-void DeploymentSync::noticeEra(std::uint64_t era)
+bool DeploymentSync::noticeEra(std::uint64_t era)
 {
-    const std::uint64_t before = std::exchange(era_, era);
-    if (before != 0 && before != era) {
-        logEvent(LogEvent::StoreEraChanged, "", {{"before", before}, {"after", era}});
+    const std::uint64_t before = std::exchange(era_, std::max(era_, era));
+    if (before == 0 || before >= era) {
+        return false;
+    }
+    logEvent(LogEvent::StoreEraChanged, "", {{"before", before}, {"after", era}});
+    return true;
+}
+
+void DeploymentSync::writeAgain(const ObjectListing &listing)
+{
+    writer_.forgetVersions();
+    const std::optional<ServerRegistration> own = callbacks_.ownRegistration();
+    bool isListed = false;
+    for (const KeyedObject &entry : listing.objects) {
+        const ServerName name = serverOf(entry.key);
+        if (own && name == own->name) {
+            isListed = parseRegistration(name, entry.object.value) == own;
+        } else if (withdrawn_.contains(name)) {
+            writer_.remove(name);
+        }
+    }
+    if (own && !isListed) {
+        publish();
     }
+    exchangeUntil_ = clock_.now() + kSettlingTime;
+    exchange_.tick();
+}
+
+void DeploymentSync::removeUnconfirmedLater()
+{
+    unconfirmedTimer_.expires_after(toChrono(kRewriteTime));
+    unconfirmedTimer_.async_wait([this](const asio::error_code &error) {
+        if (!error && !stopped_ && directory_.removeUnconfirmed(era_)) {
+            callbacks_.directoryChanged();
+        }
+    });
 }
 
 void DeploymentSync::handleOwnEntry(const ServerRegistration &registration)
@@ -264,8 +321,17 @@
     // The local server may check in with a restarted daemon before the daemon has read the entries that the previous
     // process left in the store.
     const std::optional<ServerRegistration> current = callbacks_.ownRegistration();
-    if (current && current->name != registration.name && registration.startedAt <= current->startedAt) {
-        writer_.remove(registration.name);
+    if (!current) {
+        return;
+    }
+    if (current->name != registration.name && registration.startedAt <= current->startedAt) {
+        withdraw(registration.name);
+    }
+    const bool isOlderWriteOfThisProcess = current->name == registration.name
+        && registration.incarnation == current->incarnation && registration != *current;
+    if (isOlderWriteOfThisProcess && !writer_.isPending(current->name)) {
+        // A write that was delayed in the store, or that the store has come back to.
+        publish();
     }
 }
 
@@ -290,16 +356,17 @@
 {
     DirectoryMessage message;
     message.sender = settings_.self;
-    message.configurationVersion = ConfigVersion(configurationVersion_);
+    message.configurationRevision = configurationRevision_;
+    message.configurationDigest = configurationDigest(configuration_);
     message.digest = directoryDigest(directory_);
     message.crashes = callbacks_.crashReports();
     if (other == nullptr) {
         if (const auto own = callbacks_.ownRegistration()) {
-            message.servers.push_back({*own, 0});
+            message.servers.push_back({*own, {}});
         }
         return message;
     }
-    if (other->configurationVersion < message.configurationVersion) {
+    if (other->configurationDigest != message.configurationDigest) {
         message.configuration = configuration_;
     }
     if (other->digest != message.digest) {
@@ -313,7 +380,7 @@
 void DeploymentSync::merge(const DirectoryMessage &message)
 {
     if (!message.configuration.empty()) {
-        adoptConfiguration(message.configuration, message.configurationVersion.value());
+        adoptConfiguration(message.configuration, message.configurationRevision);
     }
     const std::optional<ServerRegistration> own = callbacks_.ownRegistration();
     bool changed = false;
@@ -324,7 +391,7 @@
             continue;
         }
         const DirectoryEntry *known = directory_.find(entry.registration.name);
-        const bool isLater = entry.revision > 0 && (known == nullptr || known->revision < entry.revision);
+        const bool isLater = entry.revision.number > 0 && (known == nullptr || known->revision < entry.revision);
         const bool applied =
             isLater ? directory_.apply(entry.registration, entry.revision) : directory_.applyDirect(entry.registration);
         changed = changed || applied;
--- a/src/discovery/deploymentsync.h
+++ b/src/discovery/deploymentsync.h
@@ -22,14 +22,18 @@
 
 /**
  * Synchronizes this daemon's configuration and server directory with the store, and with other daemons while the store
- * does not respond. All functions and callbacks run on the executor.
+ * does not respond, after this daemon's start and after the store came back from an older copy. All functions and
+ * callbacks run on the executor.
  */
 class DeploymentSync
 {
 public:
     struct Callbacks {
-        /** Applies a configuration in its stored form; false if it is invalid or not newer. */
-        std::function<bool(const std::string &value, std::uint64_t version)> adoptConfiguration;
+        /**
+         * Applies a configuration in its stored form; false if it is invalid or not later than the one in force.
+         * @p version is that of the object in the store, which tells which of two is later only within one history.
+         */
+        std::function<bool(const std::string &value, std::uint64_t version, StoreHistory history)> adoptConfiguration;
         std::function<void()> directoryChanged;
         /** Called for each registration from the store or another daemon that contains this daemon's address. */
         std::function<void(const ServerRegistration &)> ownEntryFound;
@@ -76,11 +80,15 @@
 private:
     void handleConfigurationListing(const ObjectListing &listing);
     void handleConfigurationChanges(const ChangeBatch &batch);
-    void adoptConfiguration(const std::string &value, std::uint64_t version);
+    void adoptConfiguration(const std::string &value, StoreRevision revision);
     void handleServerListing(const ObjectListing &listing);
     void handleServerChanges(const ChangeBatch &batch);
     std::optional<ServerRegistration> readRegistration(const std::string &key, const std::string &value) const;
-    void noticeEra(std::uint64_t era);
+    /** Records the era of a response; true if the store came back from an older copy since the last one. */
+    bool noticeEra(std::uint64_t era);
+    /** Writes again what the store has lost of this daemon's own servers, as seen in its first listing since. */
+    void writeAgain(const ObjectListing &listing);
+    void removeUnconfirmedLater();
     void handleOwnEntry(const ServerRegistration &registration);
     void setStoreAvailable(const char *watch, bool &state, bool available);
     DirectoryMessage createMessage(const DirectoryMessage *other);
@@ -90,13 +98,16 @@
 
     asio::any_io_executor executor_;
     ObjectStore &store_;
+    const Clock &clock_;
     DeploymentSyncSettings settings_;
     Callbacks callbacks_;
     ServerDirectory directory_;
     std::set<ServerName> ownEntries_; ///< Servers whose registrations contain this daemon's address.
     std::string configuration_; ///< Configuration in force, in its stored form.
-    std::uint64_t configurationVersion_ = 0;
-    std::uint64_t era_ = 0; ///< Of the store; 0 if it names none.
+    StoreRevision configurationRevision_;
+    std::set<ServerName> withdrawn_; ///< Servers whose registrations this process has removed.
+    std::uint64_t era_ = 0; ///< Latest era of the store that a response named; 0 if it names none.
+    TimePoint exchangeUntil_; ///< Until then exchanges go on although the store responds.
     bool hasNewCrashReports_ = false; ///< They are propagated when exchangeTimer_ expires next.
     bool isConfigurationWatchAvailable_ = true; ///< The store responds to the watch.
     bool isDirectoryWatchAvailable_ = true;
@@ -107,6 +118,7 @@
     StoreWatcher configurationWatcher_;
     StoreWatcher directoryWatcher_;
     asio::steady_timer exchangeTimer_;
+    asio::steady_timer unconfirmedTimer_;
 };
 
 } // namespace Hibiscus
--- a/src/discovery/registrationwriter.cpp
+++ b/src/discovery/registrationwriter.cpp
@@ -4,6 +4,7 @@
 #include "core/logevent.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <asio/post.hpp>
 
@@ -61,6 +62,18 @@
     enqueue(name, std::nullopt, std::move(done));
 }
 
+bool RegistrationWriter::isPending(const ServerName &name) const
+{
+    const std::lock_guard lock(mutex_);
+    return tasks_.contains(name);
+}
+
+void RegistrationWriter::forgetVersions()
+{
+    const std::lock_guard lock(mutex_);
+    versionsAreOutdated_ = true;
+}
+
 void RegistrationWriter::enqueue(const ServerName &name, std::optional<std::string> value, Done done)
 {
     {
@@ -90,6 +103,9 @@
         const ServerName name = next->first;
         const std::optional<std::string> value = next->second.value;
         const std::uint64_t generation = next->second.generation;
+        if (std::exchange(versionsAreOutdated_, false)) {
+            versions_.clear();
+        }
         lock.unlock();
         const bool done = execute(name, value);
         if (done) {
--- a/src/discovery/registrationwriter.h
+++ b/src/discovery/registrationwriter.h
@@ -45,6 +45,10 @@
 
     void put(const ServerRegistration &registration, Done done = nullptr);
     void remove(const ServerName &name, Done done = nullptr);
+    /** Whether a write or removal of this registration has been requested and not been done yet. */
+    bool isPending(const ServerName &name) const;
+    /** The store came back from an older copy, so that the versions known of its objects mean nothing any more. */
+    void forgetVersions();
 
 private:
     struct Task {
@@ -63,9 +67,10 @@
     asio::any_io_executor executor_;
     ObjectStore &store_;
     std::thread thread_;
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     std::condition_variable wakeUp_;
     bool stopping_ = false;
+    bool versionsAreOutdated_ = false;
     std::uint64_t generation_ = 0;
     std::map<ServerName, Task> tasks_;
     std::map<ServerName, std::uint64_t> versions_; ///< Last known versions in the store; used by the thread only.
--- a/src/discovery/storewatcher.cpp
+++ b/src/discovery/storewatcher.cpp
@@ -71,11 +71,13 @@
 bool StoreWatcher::list()
 {
     StoreResult<ObjectListing> listing = store_.listKind(settings_.kind, settings_.mode);
-    if (!listing) {
+    if (!listing || isOutdated(listing->era)) {
         return false;
     }
     hasListing_ = true;
     revision_ = listing->revision;
+    era_ = std::max(era_, listing->era);
+    listing->era = era_;
     asio::post(executor_, [this, listing = std::move(*listing)] { callbacks_.listingReceived(listing); });
     return true;
 }
@@ -89,6 +91,17 @@
         hasListing_ = batch.error() != StoreError::HistoryLost;
         return batch.error() == StoreError::HistoryLost;
     }
+    if (isOutdated(batch->era)) {
+        return false;
+    }
+    if (batch->era > era_) {
+        // The position of this watch belongs to a history that is gone.
+        era_ = batch->era;
+        hasListing_ = false;
+        needsRecheck_ = true;
+        return true;
+    }
+    batch->era = era_;
     // Each change of the store raises its revision, so a larger step means that objects of other kinds changed.
     needsRecheck_ = needsRecheck_ || batch->revision > revision_ + batch->changes.size();
     revision_ = std::max(revision_, batch->revision);
@@ -99,16 +112,23 @@
     return true;
 }
 
+bool StoreWatcher::isOutdated(std::uint64_t era) const
+{
+    // A response that names no era counts as one of the present era.
+    return era != 0 && era < era_;
+}
+
 void StoreWatcher::recheckIfNeeded()
 {
     if (!needsRecheck_ || settings_.recheckedKind.empty()) {
         return;
     }
     StoreResult<ObjectListing> listing = store_.listKind(settings_.recheckedKind, ReadMode::Latest);
-    if (!listing) {
+    if (!listing || isOutdated(listing->era)) {
         return;
     }
     needsRecheck_ = false;
+    listing->era = std::max(era_, listing->era);
     asio::post(executor_, [this, listing = std::move(*listing)] { callbacks_.recheckReceived(listing); });
 }
 
--- a/src/discovery/storewatcher.h
+++ b/src/discovery/storewatcher.h
@@ -32,8 +32,9 @@
 /**
  * Watches all objects of one kind in the store, on a thread of its own since calls to the store block.
  *
- * A listing is followed by all later changes without a gap. When the store's history doesn't reach back far enough, a
- * new listing replaces the state. Callbacks run on the executor.
+ * A listing is followed by all later changes without a gap. When the store's history doesn't reach back far enough, or
+ * when the store came back from an older copy of itself, a new listing replaces the state. Responses from before such a
+ * return that arrive later are dropped. Callbacks run on the executor.
  */
 class StoreWatcher
 {
@@ -60,6 +61,8 @@
     void run();
     bool list();
     bool watch();
+    /** Whether a response of the era @p era comes from before the last return of the store to a copy. */
+    bool isOutdated(std::uint64_t era) const;
     void setAvailable(bool available);
     void recheckIfNeeded();
     /** Returns early with false if the watcher is stopping. */
@@ -78,6 +81,7 @@
     bool hasListing_ = false;
     bool needsRecheck_ = false;
     std::uint64_t revision_ = 0;
+    std::uint64_t era_ = 0; ///< Of the listing; 0 if the store names none.
 };
 
 } // namespace Hibiscus
--- a/src/exchange/autotests/exchangeservertest.cpp
+++ b/src/exchange/autotests/exchangeservertest.cpp
@@ -13,12 +13,13 @@
 {
     DirectoryMessage message;
     message.sender = HostAddress("10.0.0.1:80");
-    message.configurationVersion = ConfigVersion(7);
+    message.configurationRevision = {3, 7};
+    message.configurationDigest = 0xFFFFFFFFFFFFFFF3U;
     message.configuration = R"({"version":7})";
     message.digest = 0xFFFFFFFFFFFFFFFFU;
     message.servers = {{{ServerName("i-1"), ServiceName("desk"), FailureDomainName("a"), HostAddress("10.0.0.1:80"),
                          Incarnation(0xFFFFFFFFFFFFFFF1U), 1764000000000, 1764000000001, 158, ServerState::Draining},
-                        42}};
+                        {3, 42}}};
     message.crashes = {{{Incarnation(9), 3}, Millis{12.5}, {Signature(1)}, {Signature(0xFFFFFFFFFFFFFFF2U)}}};
     return message;
 }
@@ -39,12 +40,13 @@
     REQUIRE(reply.has_value());
     for (const DirectoryMessage &message : {received, *reply}) {
         CHECK(message.sender == exampleMessage().sender);
-        CHECK(message.configurationVersion == ConfigVersion(7));
+        CHECK(message.configurationRevision == StoreRevision{3, 7});
+        CHECK(message.configurationDigest == 0xFFFFFFFFFFFFFFF3U);
         CHECK(message.configuration == exampleMessage().configuration);
         CHECK(message.digest == exampleMessage().digest);
         REQUIRE(message.servers.size() == 1);
         CHECK(message.servers[0].registration == exampleMessage().servers[0].registration);
-        CHECK(message.servers[0].revision == 42);
+        CHECK(message.servers[0].revision == StoreRevision{3, 42});
         CHECK(message.crashes == exampleMessage().crashes);
     }
 }
--- a/src/exchange/directorymessage.cpp
+++ b/src/exchange/directorymessage.cpp
@@ -53,7 +53,9 @@
 {
     Json::Value value(Json::objectValue);
     value["sender"] = message.sender.value();
-    value["configurationVersion"] = Json::UInt64(message.configurationVersion.value());
+    value["configurationVersion"] = Json::UInt64(message.configurationRevision.number);
+    value["configurationEra"] = Json::UInt64(message.configurationRevision.era);
+    value["configurationDigest"] = Json::UInt64(message.configurationDigest);
     value["configuration"] = message.configuration;
     value["digest"] = Json::UInt64(message.digest);
     value["servers"] = Json::Value(Json::arrayValue);
@@ -61,7 +63,8 @@
         Json::Value server(Json::objectValue);
         server["name"] = entry.registration.name.value();
         server["registration"] = serializeRegistration(entry.registration);
-        server["revision"] = Json::UInt64(entry.revision);
+        server["revision"] = Json::UInt64(entry.revision.number);
+        server["era"] = Json::UInt64(entry.revision.era);
         value["servers"].append(std::move(server));
     }
     value["crashes"] = Json::Value(Json::arrayValue);
@@ -79,7 +82,9 @@
     try {
         DirectoryMessage message;
         message.sender = HostAddress(value["sender"].asString());
-        message.configurationVersion = ConfigVersion(value["configurationVersion"].asUInt64());
+        message.configurationRevision = {value["configurationEra"].asUInt64(),
+                                         value["configurationVersion"].asUInt64()};
+        message.configurationDigest = value["configurationDigest"].asUInt64();
         message.configuration = value["configuration"].asString();
         message.digest = value["digest"].asUInt64();
         for (const Json::Value &server : value["servers"]) {
@@ -88,7 +93,7 @@
             if (!registration) {
                 return std::nullopt;
             }
-            message.servers.push_back({*registration, server["revision"].asUInt64()});
+            message.servers.push_back({*registration, {server["era"].asUInt64(), server["revision"].asUInt64()}});
         }
         for (const Json::Value &report : value["crashes"]) {
             message.crashes.push_back(decodeCrash(report));
@@ -100,11 +105,17 @@
     }
 }
 
+std::uint64_t configurationDigest(const std::string &text)
+{
+    return text.empty() ? 0 : stableHash(text);
+}
+
 std::uint64_t directoryDigest(const ServerDirectory &directory)
 {
     std::uint64_t digest = 0;
     for (const auto &[name, entry] : directory.entries()) {
-        digest ^= stableHash(name.value() + serializeRegistration(entry.registration), entry.revision);
+        digest ^= stableHash(name.value() + serializeRegistration(entry.registration),
+                             stableHash(std::to_string(entry.revision.era), entry.revision.number));
     }
     return digest;
 }
--- a/src/exchange/directorymessage.h
+++ b/src/exchange/directorymessage.h
@@ -19,8 +19,9 @@
  */
 struct DirectoryMessage {
     HostAddress sender; ///< Peers listener of the sender.
-    ConfigVersion configurationVersion; ///< Version that the sender uses; 0 for none.
-    std::string configuration; ///< Text of that version as the store holds it; empty if it is not included.
+    StoreRevision configurationRevision; ///< Of the configuration that the sender uses.
+    std::uint64_t configurationDigest = 0; ///< Of its text, by configurationDigest(); 0 for none.
+    std::string configuration; ///< Its text as the store holds it; empty if it is not included.
     std::uint64_t digest = 0; ///< Of all directory entries that the sender knows, by directoryDigest().
     std::vector<DirectoryEntry> servers;
     std::vector<CrashReport> crashes;
@@ -32,6 +33,9 @@
 /** Reads what encodeDirectoryMessage() returns; empty if a field has another type or a registration is invalid. */
 std::optional<DirectoryMessage> decodeDirectoryMessage(const Json::Value &value);
 
+/** Digest of the text of a configuration; 0 if there is none. */
+std::uint64_t configurationDigest(const std::string &text);
+
 /** Digest of a directory; equal for equal entries, whatever their order. */
 std::uint64_t directoryDigest(const ServerDirectory &directory);
 
--- a/src/mesh/meshdaemon.cpp
+++ b/src/mesh/meshdaemon.cpp
@@ -59,7 +59,7 @@
     bool isLeaving(const ServerName &target) const override;
 
     tl::expected<void, std::string> listen(const char *name, const HostAddress &address, HttpHandler &handler);
-    bool adoptConfiguration(const std::string &value);
+    bool adoptConfiguration(const std::string &value, StoreHistory history);
     std::optional<ServerRegistration> ownRegistration() const;
     void onCrash(const std::vector<Signature> &inFlight);
     void updateRoutingTable();
@@ -132,7 +132,9 @@
     , deployment(
           context.get_executor(), *protocols.store, client, clock, routingRandom,
           {settings.peers, protocols.configuration->key(), {}},
-          {[this](const std::string &value, std::uint64_t) { return adoptConfiguration(value); },
+          {[this](const std::string &value, std::uint64_t, StoreHistory history) {
+               return adoptConfiguration(value, history);
+           },
            [this] { updateRoutingTable(); },
            [this](const ServerRegistration &entry) {
                if (entry.state == ServerState::Draining) {
@@ -210,15 +212,21 @@
     return {};
 }
 
-bool MeshDaemon::Private::adoptConfiguration(const std::string &value)
+/** A configuration has a version of its own, which outlasts the histories of the store. One of the version in force is
+ * taken if it was written after the store had lost that. */
+bool MeshDaemon::Private::adoptConfiguration(const std::string &value, StoreHistory history)
 {
     auto decoded = protocols.configuration->decode(value);
     if (!decoded) {
         logEvent(LogEvent::ConfigurationRejected, decoded.error());
         return false;
     }
-    if (routes && decoded->version <= routes->configuration().version) {
-        return false;
+    if (routes) {
+        const ConfigVersion inForce = routes->configuration().version;
+        const bool replacesLost = decoded->version == inForce && history == StoreHistory::Later;
+        if (decoded->version <= inForce && !replacesLost) {
+            return false;
+        }
     }
     routes = std::make_shared<const RouteTable>(std::move(*decoded));
     const RouteConfiguration &configuration = routes->configuration();
--- a/src/platform/objectstore.h
+++ b/src/platform/objectstore.h
@@ -39,17 +39,6 @@
     StoredObject object;
 };
 
-/**
- * Revision of the store within one of its histories. A store that came back from an older copy of itself begins another
- * era, in which it gives out revisions again that it had given out before.
- */
-struct StoreRevision {
-    std::uint64_t era = 0; ///< 0 if the store names none.
-    std::uint64_t number = 0;
-
-    friend constexpr auto operator<=>(StoreRevision, StoreRevision) = default;
-};
-
 /** All objects of a kind. */
 struct ObjectListing {
     std::vector<KeyedObject> objects;
