Name the era of the store in the product's own object API

Listings and watches carry the number of the store's history, and the stand-in can keep a copy and go back to it (POST /faults save_copy, return_to_copy), so that a return is played over HTTP without the kit.

--- a/src/platform/autotests/objectstorecontracttest.cpp
+++ b/src/platform/autotests/objectstorecontracttest.cpp
@@ -309,3 +309,29 @@
         thread.join();
     }
 }
+
+TEST_CASE("HttpObjectStore: a store that comes back from a copy names another era and gives out its revisions again")
+{
+    // Guards against an era that is lost between the platform and a daemon.
+    PlatformServer server({HostAddress("127.0.0.1:0")});
+    const auto address = server.open();
+    REQUIRE(address.has_value());
+    StoreTransportSettings settings;
+    settings.address = *address;
+    HttpObjectStore store(settings);
+    REQUIRE(store.create("k/a", "1").has_value());
+    CHECK(server.applyFaults(R"({"save_copy": true})").empty());
+    REQUIRE(store.update("k/a", "2", 1).has_value());
+    const auto before = store.listKind("k", ReadMode::Latest);
+    REQUIRE(before.has_value());
+    CHECK(server.applyFaults(R"({"return_to_copy": true})").empty());
+    const auto after = store.listKind("k", ReadMode::Latest);
+    REQUIRE(after.has_value());
+    CHECK(after->objects.front().object.value == "1");
+    CHECK(after->era == before->era + 1);
+    CHECK(store.watchKind("k", before->revision, Millis{0}, ReadMode::Latest).error() == StoreError::HistoryLost);
+    CHECK(store.update("k/a", "other", 1) == 2U);
+    const auto overtaken = store.watchKind("k", before->revision - 1, Millis{0}, ReadMode::Latest);
+    REQUIRE(overtaken.has_value());
+    CHECK(overtaken->era == after->era);
+}
--- a/src/platform/objectprotocol.cpp
+++ b/src/platform/objectprotocol.cpp
@@ -44,6 +44,12 @@
     return {percentDecode(entry.at("value").get<std::string>()), entry.at("version").get<std::uint64_t>()};
 }
 
+/** Era of the store that a document names; 0 if it names none. */
+std::uint64_t eraOf(const Json &document)
+{
+    return document.value("era", std::uint64_t{0});
+}
+
 } // namespace
 
 std::string percentEncode(std::string_view text)
@@ -105,14 +111,14 @@
     for (const KeyedObject &entry : listing.objects) {
         objects.push_back(encodeObject(entry.key, entry.object));
     }
-    return Json{{"objects", std::move(objects)}, {"revision", listing.revision}}.dump();
+    return Json{{"objects", std::move(objects)}, {"revision", listing.revision}, {"era", listing.era}}.dump();
 }
 
 std::optional<ObjectListing> parseKindListing(std::string_view text)
 {
     try {
         const Json document = Json::parse(text);
-        ObjectListing listing{{}, document.at("revision").get<std::uint64_t>()};
+        ObjectListing listing{{}, document.at("revision").get<std::uint64_t>(), eraOf(document)};
         for (const Json &entry : document.at("objects")) {
             listing.objects.push_back({entry.at("key").get<std::string>(), decodeObject(entry)});
         }
@@ -131,14 +137,14 @@
         entry["revision"] = change.revision;
         changes.push_back(std::move(entry));
     }
-    return Json{{"changes", std::move(changes)}, {"revision", batch.revision}}.dump();
+    return Json{{"changes", std::move(changes)}, {"revision", batch.revision}, {"era", batch.era}}.dump();
 }
 
 std::optional<ChangeBatch> parseChanges(std::string_view text)
 {
     try {
         const Json document = Json::parse(text);
-        ChangeBatch batch{{}, document.at("revision").get<std::uint64_t>()};
+        ChangeBatch batch{{}, document.at("revision").get<std::uint64_t>(), eraOf(document)};
         for (const Json &entry : document.at("changes")) {
             batch.changes.push_back({entry.at("key").get<std::string>(), decodeObject(entry),
                                      entry.at("removed").get<bool>(), entry.at("revision").get<std::uint64_t>()});
--- a/tools/platform_standin/platformserver.cpp
+++ b/tools/platform_standin/platformserver.cpp
@@ -118,6 +118,10 @@
                 faults.delay = Millis{value.get<double>()};
             } else if (name == "lose_answers") {
                 faults.responsesToDrop = value.get<int>();
+            } else if (name == "save_copy" && value.get<bool>()) {
+                store_.saveCopy();
+            } else if (name == "return_to_copy" && value.get<bool>()) {
+                store_.returnToCopy();
             } else if (name == "refuse") {
                 refused = value.get<std::set<std::string>>();
             } else {
