Acknowledge a leave notice that a server repeats

A process that is known to have left is now acknowledged again, after the store has the removal or the time for it is over. The test failed before (400).

--- a/src/directory/leavingservers.cpp
+++ b/src/directory/leavingservers.cpp
@@ -38,6 +38,13 @@
     return process != nullptr && process->hasLeft;
 }
 
+bool LeavingServers::hasLeft(const ServerName &name) const
+{
+    const auto last = std::find_if(processes_.rbegin(), processes_.rend(),
+                                   [&name](const Process &process) { return process.name == name; });
+    return last != processes_.rend() && last->hasLeft;
+}
+
 const LeavingServers::Process *LeavingServers::find(const ServerName &name, std::int64_t startedAt) const
 {
     const auto found = std::find_if(processes_.begin(), processes_.end(), [&](const Process &process) {
--- a/src/directory/leavingservers.h
+++ b/src/directory/leavingservers.h
@@ -26,6 +26,8 @@
 
     bool isLeaving(const ServerName &name, std::int64_t startedAt) const;
     bool hasLeft(const ServerName &name, std::int64_t startedAt) const;
+    /** Whether the last recorded process of that name has left. */
+    bool hasLeft(const ServerName &name) const;
 
 private:
     struct Process {
--- a/src/directory/localserver.cpp
+++ b/src/directory/localserver.cpp
@@ -56,6 +56,11 @@
     return true;
 }
 
+bool LocalServer::hasLeft(const ServerName &name) const
+{
+    return leaving_.hasLeft(name);
+}
+
 void LocalServer::forget()
 {
     current_.reset();
--- a/src/directory/localserver.h
+++ b/src/directory/localserver.h
@@ -36,6 +36,9 @@
     /** Records that the server of that name ends; false if it is not the local server. */
     bool leave(const ServerName &name);
 
+    /** Whether a server of that name was the local one and has left. */
+    bool hasLeft(const ServerName &name) const;
+
     /** Forgets the local server, which seems lost for good. Its next check-in, if any, counts as a start. */
     void forget();
 
--- a/src/mesh/autotests/checkinhandlertest.cpp
+++ b/src/mesh/autotests/checkinhandlertest.cpp
@@ -17,3 +17,15 @@
     CHECK(mesh.call("late").status == 503);
     CHECK(mesh.desk->handler.runs == runs);
 }
+
+TEST_CASE("CheckInHandler: a leave notice that is repeated is acknowledged again")
+{
+    // Guards against a server that waits in vain for the acknowledgement of its end, since the first one was late.
+    Mesh mesh;
+    REQUIRE(mesh.report(*mesh.desk, mesh.desk->report(1, "ready")) == 200);
+    CHECK(mesh.report(*mesh.desk, "leave desk-1") == 200);
+    CHECK(mesh.report(*mesh.desk, "leave desk-1") == 200);
+    // A delayed heartbeat still puts it in no use again.
+    CHECK(mesh.report(*mesh.desk, mesh.desk->report(2, "ready")) == 200);
+    CHECK(mesh.call("late").status == 503);
+}
--- a/src/mesh/checkinhandler.cpp
+++ b/src/mesh/checkinhandler.cpp
@@ -77,6 +77,11 @@
         callbacks_.withdraw(notice.name, acknowledgeLater(std::move(respond)));
         return;
     }
+    if (server_.hasLeft(notice.name)) {
+        // The server repeats its notice, since the acknowledgement was late or lost.
+        callbacks_.withdraw(notice.name, acknowledgeLater(std::move(respond)));
+        return;
+    }
     // A delayed heartbeat could still make this server the local one, so the daemon can't acknowledge that the server
     // gets no new work.
     logEvent(LogEvent::CheckInRejected, "leave notice of " + notice.name.value() + ", which is not the local server");
