Split what a server says of itself, and load reports, from ServerGateway

NoticeReceiver applies limit and leaving for one process of the server; addLoadReport() and removeLoadReport() stand beside each other instead of in two classes. A response of another server at the address (421) is no notice of the local one. A daemon writes its registration again only if the store, not another daemon, reports an older write of it: peers that lag would cause a write with each exchange.

--- a/src/daemon/callhandler.cpp
+++ b/src/daemon/callhandler.cpp
@@ -3,6 +3,7 @@
 #include "core/contenthash.h"
 #include "daemon/callmessage.h"
 #include "daemon/headernames.h"
+#include "daemon/loadreport.h"
 
 #include <algorithm>
 
@@ -29,14 +30,7 @@
 HttpResponse encodeForCaller(CallResult result)
 {
     result.spent.reset();
-    result.level.reset();
-    result.subtreeLevel.reset();
-    result.headroom.reset();
-    result.limit.reset();
-    result.slowdownPercent.reset();
-    result.failingPercent.reset();
-    result.rateLimit.reset();
-    result.serverLeaving = false;
+    removeLoadReport(result);
     return encodeResult(std::move(result));
 }
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -155,7 +155,7 @@
 {
     gateway = std::make_unique<ServerGateway>(self, tables, client, health, *this, protocol, clock);
     serverStartedAt = startedAt;
-    gateway->setLeavingCallback([this] { onServerLeaving(); });
+    gateway->notices().setLeavingCallback([this] { onServerLeaving(); });
     health.setCallbacks(
         [this](bool healthy) {
             if (healthy) {
@@ -312,7 +312,7 @@
 
 void Daemon::Private::onServerStarted()
 {
-    gateway->serverReplaced();
+    gateway->notices().serverReplaced();
     serverStartedAt = unixTimeNow();
     if (serverLeaving.exchange(false)) {
         asio::post(strand, [this] { deployment.publish(); });
--- a/src/daemon/servergateway.cpp
+++ b/src/daemon/servergateway.cpp
@@ -2,6 +2,7 @@
 
 #include "core/logevent.h"
 #include "daemon/headernames.h"
+#include "daemon/loadreport.h"
 
 #include <vector>
 
@@ -18,10 +19,6 @@
 constexpr Millis kNonRepeatableGrace{10000};
 constexpr int kFirstServerErrorStatus = 500;
 constexpr int kStatusGatewayTimeout = 504;
-constexpr double kPercent = 100;
-/** Lower values are not reported, which saves bytes. */
-constexpr int kReportedSlowdownPercent = 140;
-constexpr int kReportedFailingPercent = 3;
 
 TicketId ticketOf(AttemptId attempt)
 {
@@ -40,12 +37,6 @@
     return kind == ErrorKind::Cancelled || kind == ErrorKind::DeadlineExceeded || kind == ErrorKind::Unreachable;
 }
 
-/** Whether the server itself responded to the request: not another one at its address, and not with broken bytes. */
-bool isFromServer(const CallResult &result)
-{
-    return result.response || result.response.error() == ErrorKind::ServerRefused;
-}
-
 StoredResponse storedResponse(const HttpResponse &response)
 {
     return {response.status, response.headers.fields(), response.body};
@@ -62,12 +53,13 @@
     , gate_(gate)
     , protocol_(protocol)
     , clock_(clock)
+    , notices_(self, tables, clock)
 {
 }
 
-void ServerGateway::setLeavingCallback(std::function<void()> callback)
+NoticeReceiver &ServerGateway::notices()
 {
-    leaving_ = std::move(callback);
+    return notices_;
 }
 
 void ServerGateway::execute(CallMessage message, CallCallback callback)
@@ -218,7 +210,7 @@
     const CallRequest &call = pending->message.call;
     const AttemptId attempt = pending->message.attempt;
     pending->started = clock_.now();
-    pending->serverProcess = serverProcess_;
+    pending->serverProcess = notices_.currentProcess();
     // The server may have been drained or replaced while the attempt was queued.
     if (const std::optional<ErrorKind> refusal = gate_.refusal(pending->message.server)) {
         health_.attemptNotSent(attempt);
@@ -243,9 +235,7 @@
     options.responseTimeout = (call.deadline - clock_.now()) + (call.repeatable ? Millis{0} : kNonRepeatableGrace);
     options.echoedField = protocol_.echoedField();
     options.otherResponse = [this, pending](const HttpResponse &response) {
-        if (pending->serverProcess == serverProcess_) {
-            recordNotice(protocol_.readNotice(response), pending->started, false);
-        }
+        notices_.receiveOther(protocol_.readNotice(response), pending->serverProcess);
     };
     {
         const std::lock_guard lock(mutex_);
@@ -330,8 +320,8 @@
     const ServerNotice notice = response ? protocol_.readNotice(*response) : ServerNotice{};
     const bool hasResponse = response.has_value();
     CallResult result = makeResult(pending, std::move(response), summary);
-    if (hasResponse && pending->serverProcess == serverProcess_) {
-        recordNotice(notice, pending->started, isFromServer(result));
+    if (hasResponse) {
+        receiveNotice(pending, notice, result);
     }
     sample.serverShed = !result.response && result.response.error() == ErrorKind::ServerRefused;
     if (result.response) {
@@ -357,49 +347,21 @@
     applyDispatch(next);
 }
 
-void ServerGateway::recordNotice(const ServerNotice &notice, TimePoint sentAt, bool saysIfNone)
-{
-    if (!notice.isReadable) {
-        logEvent(LogEvent::ServerNoticeRejected, self_.server.value());
-        return;
-    }
-    const auto [before, after] = tables_.admission.with([&](AdmissionController &admission) {
-        RateLimit &limit = admission.rateLimit();
-        const std::optional<RequestRate> known = limit.value();
-        if (notice.rateLimit) {
-            limit.name(*notice.rateLimit, clock_.now());
-        } else if (saysIfNone) {
-            limit.nameNone(sentAt);
-        }
-        return std::pair(known, limit.value());
-    });
-    logLimitChange(before, after);
-    if (notice.isLeaving && leaving_) {
-        leaving_();
-    }
-}
-
-void ServerGateway::logLimitChange(const std::optional<RequestRate> &before,
-                                   const std::optional<RequestRate> &after) const
+void ServerGateway::receiveNotice(const PendingPtr &pending, const ServerNotice &notice, const CallResult &result)
 {
-    if (before != after) {
-        logEvent(LogEvent::ServerLimitChanged, after ? "" : "ended",
-                 {{"server", self_.server.value()}, {"perSecond", after.value_or(RequestRate{})}});
+    if (result.response || result.response.error() == ErrorKind::ServerRefused) {
+        notices_.receive(notice, pending->serverProcess, pending->started);
+    } else if (result.response.error() != ErrorKind::Misdirected) {
+        notices_.receiveOther(notice, pending->serverProcess);
     }
 }
 
 void ServerGateway::healthCheckEnded(const HttpResponse &response)
 {
-    recordNotice(protocol_.readNotice(response), clock_.now(), false);
+    notices_.receiveOther(protocol_.readNotice(response), notices_.currentProcess());
     tables_.admission.with([&](AdmissionController &admission) { admission.rateLimit().recordStart(clock_.now()); });
 }
 
-void ServerGateway::serverReplaced()
-{
-    ++serverProcess_;
-    tables_.admission.with([](AdmissionController &admission) { admission.rateLimit().serverReplaced(); });
-}
-
 void ServerGateway::recordQuality(const CallRequest &call, const CallResult &result, const ServiceSample &sample,
                                   const ScopeSummary &summary)
 {
@@ -492,29 +454,9 @@
     if (pending->isSuspect) {
         tables_.suspects.with([&](SuspectSlot &slot) { slot.release(pending->message.attempt); });
     }
-    tables_.admission.with([&result](const AdmissionController &admission) {
-        result.level = admission.level().value;
-        result.headroom = admission.headroom();
-        result.limit = admission.limit();
-        result.rateLimit = admission.rateLimit().value();
-    });
+    addLoadReport(result, tables_);
     result.serverLeaving = gate_.isLeaving(pending->message.server);
-    addQuality(result);
     pending->callback(std::move(result));
 }
 
-void ServerGateway::addQuality(CallResult &result) const
-{
-    const auto [slowdown, failing] = tables_.quality.with([](const ServerQuality &quality) {
-        return std::pair(static_cast<int>(quality.slowdown() * kPercent),
-                         static_cast<int>(quality.failingShare() * kPercent));
-    });
-    if (slowdown >= kReportedSlowdownPercent) {
-        result.slowdownPercent = slowdown;
-    }
-    if (failing >= kReportedFailingPercent) {
-        result.failingPercent = failing;
-    }
-}
-
 } // namespace Hibiscus
--- a/src/daemon/servergateway.h
+++ b/src/daemon/servergateway.h
@@ -4,13 +4,13 @@
 #include "core/clock.h"
 #include "daemon/backendprotocol.h"
 #include "daemon/callmessage.h"
+#include "daemon/noticereceiver.h"
 #include "daemon/serverhealth.h"
 #include "daemon/servinggate.h"
 #include "daemon/sharedtables.h"
 #include "http/httpclient.h"
 
 #include <atomic>
-#include <functional>
 #include <memory>
 #include <mutex>
 #include <unordered_map>
@@ -25,8 +25,8 @@
     ServerGateway(const DaemonIdentity &self, SharedTables &tables, HttpClient &client, ServerHealth &health,
                   const ServingGate &gate, const BackendProtocol &protocol, const Clock &clock);
 
-    /** Called when the local server says in a response that it is leaving. */
-    void setLeavingCallback(std::function<void()> callback);
+    /** What the backend server says of itself. */
+    NoticeReceiver &notices();
 
     /** Runs one attempt. @p callback is called once, possibly before execute() returns. */
     void execute(CallMessage message, CallCallback callback);
@@ -44,9 +44,6 @@
     /** The server responded to a health check, which counts under its limit like any request. */
     void healthCheckEnded(const HttpResponse &response);
 
-    /** Another process of the backend server has started, so responses to earlier attempts say nothing about it. */
-    void serverReplaced();
-
     /** Number of attempts that are queued or running. */
     std::size_t inFlight() const;
 
@@ -60,7 +57,7 @@
         CallMessage message;
         CallCallback callback;
         TimePoint started;
-        int serverProcess = 0; ///< Value of serverProcess_ when the attempt was sent.
+        NoticeReceiver::ServerProcess serverProcess = 0; ///< To which the attempt was sent.
         bool isSuspect = false;
         bool cancelled = false;
         /** To the backend server, while the attempt runs there. Weak, since its callback refers to the attempt. */
@@ -81,13 +78,9 @@
     void refuse(const PendingPtr &pending, ErrorKind kind);
     void recordOutcome(const CallMessage &message, const CallResult &result);
     void finish(const PendingPtr &pending, CallResult result);
-    void addQuality(CallResult &result) const;
     PendingPtr removeQueued(AttemptId attempt);
     void logLevelChange(Level level);
-    /** Applies what the server said of itself in a response; @p saysIfNone: naming no limit means that there is none.
-     */
-    void recordNotice(const ServerNotice &notice, TimePoint sentAt, bool saysIfNone);
-    void logLimitChange(const std::optional<RequestRate> &before, const std::optional<RequestRate> &after) const;
+    void receiveNotice(const PendingPtr &pending, const ServerNotice &notice, const CallResult &result);
 
     const DaemonIdentity &self_;
     SharedTables &tables_;
@@ -96,11 +89,10 @@
     const ServingGate &gate_;
     const BackendProtocol &protocol_;
     const Clock &clock_;
-    std::function<void()> leaving_;
+    NoticeReceiver notices_;
     mutable std::mutex mutex_;
     std::unordered_map<AttemptId, PendingPtr> queued_;
     std::unordered_map<AttemptId, PendingPtr> running_;
-    std::atomic<int> serverProcess_{0}; ///< Number of the server's process, as far as this daemon knows.
     std::atomic<bool> shedding_{false}; ///< The admission level is above 0.
 };
 
--- a/src/discovery/deploymentsync.cpp
+++ b/src/discovery/deploymentsync.cpp
@@ -258,7 +258,6 @@
 
 void DeploymentSync::handleServerChanges(const ChangeBatch &batch)
 {
-    noticeEra(batch.era);
     for (const ObjectChange &change : batch.changes) {
         if (change.removed) {
             directory_.remove(serverOf(change.key), {batch.era, change.revision});
@@ -266,6 +265,7 @@
         } else if (const auto registration = readRegistration(change.key, change.object.value)) {
             directory_.apply(*registration, {batch.era, change.revision});
             handleOwnEntry(*registration);
+            restoreOwnEntry(*registration);
         }
     }
     callbacks_.directoryChanged();
@@ -321,16 +321,17 @@
     // The local server may check in with a restarted daemon before the daemon has read the entries that the previous
     // process left in the store.
     const std::optional<ServerRegistration> current = callbacks_.ownRegistration();
-    if (!current) {
-        return;
-    }
-    if (current->name != registration.name && registration.startedAt <= current->startedAt) {
+    if (current && current->name != registration.name && registration.startedAt <= current->startedAt) {
         withdraw(registration.name);
     }
-    const bool isOlderWriteOfThisProcess = current->name == registration.name
-        && registration.incarnation == current->incarnation && registration != *current;
-    if (isOlderWriteOfThisProcess && !writer_.isPending(current->name)) {
-        // A write that was delayed in the store, or that the store has come back to.
+}
+
+void DeploymentSync::restoreOwnEntry(const ServerRegistration &stored)
+{
+    const std::optional<ServerRegistration> current = callbacks_.ownRegistration();
+    const bool isOlderWriteOfThisProcess =
+        current && current->name == stored.name && current->incarnation == stored.incarnation && *current != stored;
+    if (isOlderWriteOfThisProcess && !writer_.isPending(stored.name)) {
         publish();
     }
 }
--- a/src/discovery/deploymentsync.h
+++ b/src/discovery/deploymentsync.h
@@ -84,6 +84,8 @@
     void handleServerListing(const ObjectListing &listing);
     void handleServerChanges(const ChangeBatch &batch);
     std::optional<ServerRegistration> readRegistration(const std::string &key, const std::string &value) const;
+    /** Writes the own registration again if the store reports an older write of it, which was delayed there. */
+    void restoreOwnEntry(const ServerRegistration &stored);
     /** Records the era of a response; true if the store came back from an older copy since the last one. */
     bool noticeEra(std::uint64_t era);
     /** Writes again what the store has lost of this daemon's own servers, as seen in its first listing since. */
--- a/src/mesh/meshdaemon.cpp
+++ b/src/mesh/meshdaemon.cpp
@@ -172,7 +172,7 @@
           std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
               .count())
 {
-    gateway.setLeavingCallback([this] {
+    gateway.notices().setLeavingCallback([this] {
         if (const std::optional<CheckIn> &server = localServer.current()) {
             markDraining(server->name, server->startedAt);
         }
@@ -300,7 +300,7 @@
 {
     logServer();
     if (result == CheckInResult::Started && std::exchange(hasMetServer, true)) {
-        gateway.serverReplaced();
+        gateway.notices().serverReplaced();
     }
     if (localServer.current()) {
         health.serverCheckedIn(result == CheckInResult::Started);
