--- a/review/standins/rig.hh
+++ b/review/standins/rig.hh
@@ -379,6 +379,16 @@
         store(kind, name, object);
     }
 
+    /** Writes an object whose spec is @p text as it stands, which need not be valid JSON. */
+    void putRaw(const std::string &kind, const std::string &name, const std::string &text)
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            rawSpec_ = text;
+        }
+        put(kind, name, kRawPlaceholder);
+    }
+
     /** The spec of an object; null if there is none. */
     Json get(const std::string &kind, const std::string &name)
     {
@@ -423,12 +433,23 @@
         Message request;
         while (connection->read(request, 60000)) {
             const auto [status, body] = handle(request);
-            if (!connection->write(response(status, {{"Content-Type", "application/json"}}, body.dump()))) {
+            if (!connection->write(response(status, {{"Content-Type", "application/json"}}, textOf(body)))) {
                 return;
             }
         }
     }
 
+    std::string textOf(const Json &body)
+    {
+        std::string text = body.dump();
+        const std::string quoted = std::string("\"") + kRawPlaceholder + "\"";
+        const std::lock_guard lock(mutex_);
+        for (std::size_t at = text.find(quoted); at != std::string::npos; at = text.find(quoted, at + rawSpec_.size())) {
+            text.replace(at, quoted.size(), rawSpec_);
+        }
+        return text;
+    }
+
     std::pair<int, Json> handle(const Message &request)
     {
         const std::string target = request.target();
@@ -523,6 +544,8 @@
     std::condition_variable changed_;
     std::map<std::string, std::map<std::string, Json>> objects_;
     std::vector<Event> events_;
+    static constexpr const char *kRawPlaceholder = "(raw)";
+    std::string rawSpec_;
     std::uint64_t revision_ = 100;
     Listener listener_;
 };
