--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -34,7 +34,7 @@
         [&](const ConnectionPtr &connection) {
             Message request;
             while (connection->readHead(request, 60000)) {
-                if (answerHealthCheck(connection, request, id) || rejectMisdirected(connection, request, id)) {
+                if (answerWithoutRunning(connection, request, id)) {
                     connection->readBody(request, 60000);
                     continue;
                 }
--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -55,7 +55,7 @@
             Message request;
             while (connection->read(request, 60000)) {
                 const std::string &id = identities[i].id;
-                if (answerHealthCheck(connection, request, id) || rejectMisdirected(connection, request, id)) {
+                if (answerWithoutRunning(connection, request, id, i == kLeaving && hasLeft)) {
                     continue;
                 }
                 const std::int64_t now = nowMs();
--- a/review/standins/rig.hh
+++ b/review/standins/rig.hh
@@ -787,28 +787,37 @@
     std::thread thread_;
 };
 
-/** Answers health checks as a sound server; false if @p request isn't one. */
-inline bool answerHealthCheck(const ConnectionPtr &connection, const Message &request, const std::string &id)
-{
-    if (request.target() != "/health") {
-        return false;
-    }
-    connection->write(response(200, {{"Hibiscusdale-Instance-Id", id}}, ""));
-    return true;
-}
-
-/** Answers 421 to a request that expects another instance; false if it expects this one. */
-inline bool rejectMisdirected(const ConnectionPtr &connection, const Message &request, const std::string &id)
-{
+/**
+ * Answers what a sound server doesn't run: health checks (503 while it leaves), requests for another instance (421) and
+ * requests without an id (400). False if @p request is to be run. A server that leaves says so in all its answers.
+ */
+inline bool answerWithoutRunning(const ConnectionPtr &connection, const Message &request, const std::string &id,
+                                 bool isLeaving = false)
+{
+    constexpr int kOk = 200;
+    constexpr int kBadRequest = 400;
+    constexpr int kMisdirected = 421;
+    constexpr int kUnavailable = 503;
+    const std::string requestId = request.header("Hibiscusdale-Request-Id");
     const std::string expected = request.header("Hibiscusdale-Expected-Instance");
-    if (expected.empty() || expected == id) {
+    const bool isHealthCheck = request.target() == "/health";
+    const bool isMisdirected = !expected.empty() && expected != id;
+    if (!isHealthCheck && !isMisdirected && !requestId.empty()) {
         return false;
     }
-    connection->write(response(421,
-                               {{"Hibiscusdale-Instance-Id", id},
-                                {"Hibiscusdale-Not-Executed", "1"},
-                                {"Hibiscusdale-Request-Id", request.header("Hibiscusdale-Request-Id")}},
-                               ""));
+    std::vector<std::pair<std::string, std::string>> headers{{"Hibiscusdale-Instance-Id", id}};
+    if (isLeaving) {
+        headers.emplace_back("Server-Leaving", "1");
+    }
+    if (!isHealthCheck) {
+        headers.emplace_back("Hibiscusdale-Not-Executed", "1");
+    }
+    if (!requestId.empty()) {
+        headers.emplace_back("Hibiscusdale-Request-Id", requestId);
+    }
+    const int healthStatus = isLeaving ? kUnavailable : kOk;
+    const int status = isHealthCheck ? healthStatus : (isMisdirected ? kMisdirected : kBadRequest);
+    connection->write(response(status, headers, ""));
     return true;
 }
 
