--- a/src/config/routeconfiguration.h
+++ b/src/config/routeconfiguration.h
@@ -3,6 +3,7 @@
 
 #include "core/ids.h"
 #include "core/millis.h"
+#include "teams/team.h"
 
 #include <cstddef>
 #include <string>
@@ -30,6 +31,7 @@
     Millis latencyTarget; ///< Response time up to which a response has its full value for the caller.
     int priority = 0; ///< 0 is the most important.
     int attempts = 1; ///< Maximum number of backend servers to which one request is sent.
+    bool isPublic = false; ///< Callers need no key of a team.
 
     friend bool operator==(const Route &, const Route &) = default;
 };
@@ -59,6 +61,7 @@
     std::vector<Route> routes;
     std::vector<ServiceProfile> services;
     CallerLimits limits;
+    std::vector<Team> teams; ///< Empty if callers need no key.
 
     friend bool operator==(const RouteConfiguration &, const RouteConfiguration &) = default;
 };
--- a/src/core/errorkind.cpp
+++ b/src/core/errorkind.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr std::array<ErrorResponse, 27> kResponses{{
+constexpr std::array<ErrorResponse, 30> kResponses{{
     {ErrorKind::BadRequest, "bad-request", 400, Outcome::NotRun, false},
     {ErrorKind::UnknownService, "unknown-service", 404, Outcome::NotRun, false},
     {ErrorKind::BodyTooLarge, "body-too-large", 413, Outcome::NotRun, false},
@@ -36,6 +36,9 @@
     {ErrorKind::Misdirected, "misdirected", 503, Outcome::NotRun, true},
     {ErrorKind::BadAnswer, "bad-answer", 502, Outcome::Unknown, false},
     {ErrorKind::StaleIncarnation, "stale-incarnation", 503, Outcome::NotRun, true},
+    {ErrorKind::UnknownCaller, "unknown-caller", 401, Outcome::NotRun, false},
+    {ErrorKind::OverAllotment, "over-allotment", 429, Outcome::NotRun, false},
+    {ErrorKind::AllotmentUnknown, "allotment-unknown", 503, Outcome::NotRun, false},
 }};
 
 constexpr bool isIndexedByKind()
--- a/src/core/errorkind.h
+++ b/src/core/errorkind.h
@@ -45,6 +45,9 @@
     Misdirected,
     BadAnswer,
     StaleIncarnation,
+    UnknownCaller,
+    OverAllotment,
+    AllotmentUnknown,
 };
 
 /** Response to a request that failed with an error kind. */
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -17,6 +17,8 @@
 using FailureDomainName = TextId<struct FailureDomainNameTag>;
 /** Name of a request class in the rules. */
 using ClassName = TextId<struct ClassNameTag>;
+/** Name of a team: callers who share their keys and one allotment. */
+using TeamName = TextId<struct TeamNameTag>;
 /** IP address and port, as "127.0.0.1:8080" or "[::1]:8080". */
 using HostAddress = TextId<struct HostAddressTag>;
 
