Store watch: the configuration isn't listed again by a daemon that has received it

Cause: each daemon's watch of the directory lists the configuration once more when the store's revision has grown by more than the changes that it received, since the long call of the other watch may be lost. A change of the configuration does just that, so each one cost every daemon a second call at the full price. Ruled out: listing from a copy that may lag (the recheck could then miss what it looks for); no recheck at all (a long call can be lost without a trace). Change: the watch of the configuration tells its position; the recheck is left out if that covers the revision that was seen, and no call has failed since. Measured: test_discovery passes, with four new cases; what it saves on the deployments is not measured yet.

--- a/src/discovery/autotests/storewatchertest.cpp
+++ b/src/discovery/autotests/storewatchertest.cpp
@@ -91,7 +91,7 @@
 };
 
 /** Runs a watcher until the script of @p store has ended. */
-Observed observe(ScriptedStore &store)
+Observed observe(ScriptedStore &store, StoreRevision recheckedUpTo = {})
 {
     asio::io_context context;
     Observed observed;
@@ -99,7 +99,7 @@
         context.get_executor(), store, {"servers", kWatchTimeout, Millis{0}, ReadMode::Latest, kRecheckedKind},
         {[&](const ObjectListing &) { ++observed.listed; }, [&](const ChangeBatch &) { ++observed.changed; },
          [&](bool available) { observed.availability.push_back(available); },
-         [&](const ObjectListing &) { ++observed.rechecked; }});
+         [&](const ObjectListing &) { ++observed.rechecked; }, [&] { return recheckedUpTo; }});
     watcher.start();
     store.finished.get_future().wait();
     watcher.stop();
@@ -165,6 +165,36 @@
     }
 }
 
+TEST_CASE("StoreWatcher: what another watcher has received is not listed again")
+{
+    // Guards against a call of each daemon to the store for each change of the configuration, which it knows already.
+    ScriptedStore store;
+    SUBCASE("changes of another kind that it has received")
+    {
+        store.watches = {ChangeBatch{{}, 11}, changeAt(12), changeAt(14)};
+        CHECK(observe(store, {0, 14}).rechecked == 0);
+    }
+    SUBCASE("a change that it has not received")
+    {
+        store.watches = {ChangeBatch{{}, 11}, changeAt(12), changeAt(14)};
+        CHECK(observe(store, {0, 13}).rechecked == 1);
+    }
+    SUBCASE("an outage, in which its call may have been lost")
+    {
+        const ChangeBatch nothing{{}, 10};
+        store.watches = {nothing, tl::unexpected(StoreError::Unavailable), nothing, nothing};
+        CHECK(observe(store, {0, 10}).rechecked == 1);
+    }
+    SUBCASE("a store that came back from an older copy")
+    {
+        store.listingEras = {1, 2};
+        ChangeBatch returned = changeAt(25);
+        returned.era = 2;
+        store.watches = {returned, ChangeBatch{{}, 20, 2}};
+        CHECK(observe(store, {1, 30}).rechecked == 1);
+    }
+}
+
 TEST_CASE("StoreWatcher: a response of a later era leads to a new listing, and one of an earlier era to nothing")
 {
     // Guards against a watch that goes on from a position of a lost history, which the present one has overtaken.
--- a/src/discovery/deploymentsync.cpp
+++ b/src/discovery/deploymentsync.cpp
@@ -69,7 +69,8 @@
           {[this](const ObjectListing &listing) { handleServerListing(listing); },
            [this](const ChangeBatch &batch) { handleServerChanges(batch); },
            [this](bool available) { setStoreAvailable("backend server watch", isDirectoryWatchAvailable_, available); },
-           [this](const ObjectListing &listing) { handleConfigurationListing(listing); }})
+           [this](const ObjectListing &listing) { handleConfigurationListing(listing); },
+           [this] { return configurationWatcher_.position(); }})
     , exchangeTimer_(executor_)
     , unconfirmedTimer_(executor_)
 {
--- a/src/discovery/storewatcher.cpp
+++ b/src/discovery/storewatcher.cpp
@@ -59,6 +59,7 @@
             return;
         }
         needsRecheck_ = needsRecheck_ || !succeeded;
+        hadFailure_ = hadFailure_ || !succeeded;
         setAvailable(succeeded);
         if (succeeded) {
             guardMessage("store watch", [this] { recheckIfNeeded(); });
@@ -77,8 +78,8 @@
         return false;
     }
     hasListing_ = true;
-    revision_ = listing->revision;
     era_ = std::max(era_, listing->era);
+    setPosition(listing->revision);
     listing->era = era_;
     asio::post(executor_, [this, listing = std::move(*listing)] { callbacks_.listingReceived(listing); });
     return true;
@@ -101,12 +102,13 @@
         era_ = batch->era;
         hasListing_ = false;
         needsRecheck_ = true;
+        hadFailure_ = true;
         return true;
     }
     batch->era = era_;
     // Each change of the store raises its revision, so a larger step means that objects of other kinds changed.
     needsRecheck_ = needsRecheck_ || batch->revision > revision_ + batch->changes.size();
-    revision_ = std::max(revision_, batch->revision);
+    setPosition(std::max(revision_, batch->revision));
     if (!batch->changes.empty()) {
         asio::post(executor_, [this, batch = std::move(*batch)] { callbacks_.changesReceived(batch); });
         sleepFor(settings_.batchInterval);
@@ -125,15 +127,38 @@
     if (!needsRecheck_ || settings_.recheckedKind.empty()) {
         return;
     }
+    if (isRecheckCovered()) {
+        needsRecheck_ = false;
+        return;
+    }
     StoreResult<ObjectListing> listing = store_.listKind(settings_.recheckedKind, ReadMode::Latest);
     if (!listing || isOutdated(listing->era)) {
         return;
     }
     needsRecheck_ = false;
+    hadFailure_ = false;
     listing->era = std::max(era_, listing->era);
     asio::post(executor_, [this, listing = std::move(*listing)] { callbacks_.recheckReceived(listing); });
 }
 
+bool StoreWatcher::isRecheckCovered() const
+{
+    return !hadFailure_ && callbacks_.recheckedUpTo && callbacks_.recheckedUpTo() >= StoreRevision{era_, revision_};
+}
+
+void StoreWatcher::setPosition(std::uint64_t revision)
+{
+    revision_ = revision;
+    const std::lock_guard lock(mutex_);
+    position_ = {era_, revision_};
+}
+
+StoreRevision StoreWatcher::position() const
+{
+    const std::lock_guard lock(mutex_);
+    return position_;
+}
+
 void StoreWatcher::setAvailable(bool available)
 {
     if (available_ == available) {
--- a/src/discovery/storewatcher.h
+++ b/src/discovery/storewatcher.h
@@ -1,6 +1,7 @@
 #ifndef HIBISCUS_DISCOVERY_STOREWATCHER_H
 #define HIBISCUS_DISCOVERY_STOREWATCHER_H
 
+#include "core/storerevision.h"
 #include "platform/objectstore.h"
 
 #include <condition_variable>
@@ -45,6 +46,9 @@
         std::function<void(bool available)> availabilityChanged;
         /** Listing of the rechecked kind; not called without one. */
         std::function<void(const ObjectListing &)> recheckReceived{};
+        /** Revision up to which the other watcher has received the rechecked kind; may be empty. Called on the thread
+         * of this watcher. */
+        std::function<StoreRevision()> recheckedUpTo{};
     };
 
     StoreWatcher(asio::any_io_executor executor, ObjectStore &store, StoreWatcherSettings settings,
@@ -57,6 +61,9 @@
     /** Joins the thread. The store must be interrupted first. */
     void stop();
 
+    /** Revision of the store up to which all changes of the kind were received. Callable from any thread. */
+    StoreRevision position() const;
+
 private:
     void run();
     bool list();
@@ -65,6 +72,9 @@
     bool isOutdated(std::uint64_t era) const;
     void setAvailable(bool available);
     void recheckIfNeeded();
+    /** Whether the other watcher has received all that led to the recheck. */
+    bool isRecheckCovered() const;
+    void setPosition(std::uint64_t revision);
     /** Returns early with false if the watcher is stopping. */
     bool sleepFor(Millis duration);
     bool isStopping();
@@ -74,14 +84,16 @@
     StoreWatcherSettings settings_;
     Callbacks callbacks_;
     std::thread thread_;
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     std::condition_variable wakeUp_;
     bool stopping_ = false;
     bool available_ = true;
     bool hasListing_ = false;
     bool needsRecheck_ = false;
+    bool hadFailure_ = false; ///< A call failed since the last recheck, so the other watcher's call may be lost.
     std::uint64_t revision_ = 0;
     std::uint64_t era_ = 0; ///< Of the listing; 0 if the store names none.
+    StoreRevision position_; ///< The two above, for other threads.
 };
 
 } // namespace Hibiscus
