DeploymentSync: the configuration and the own registrations are kept by classes of their own

ConfigurationFollower keeps the configuration in force and decides what replaces it; OwnRegistrations decides which registrations of this daemon the store has to hold. Moved without a change of behaviour, except that a leave notice is handed to the writer before the directory is told.

--- a/src/discovery/deploymentsync.cpp
+++ b/src/discovery/deploymentsync.cpp
@@ -33,12 +33,6 @@
     return key.substr(0, key.find('/'));
 }
 
-/** The server whose registration has this key; empty if the key holds no name. */
-std::optional<ServerName> serverOf(const std::string &key)
-{
-    return ServerName::parse(std::string_view(key).substr(key.find('/') + 1));
-}
-
 } // namespace
 
 DeploymentSync::DeploymentSync(asio::any_io_executor executor, ObjectStore &store, HttpClient &client,
@@ -49,16 +43,18 @@
     , clock_(clock)
     , settings_(std::move(settings))
     , callbacks_(std::move(callbacks))
-    , former_(settings_.self, clock)
     , writer_(executor_, store)
+    , configuration_(settings_.configurationKey, callbacks_.adoptConfiguration)
+    , own_(settings_.self, clock, writer_,
+           {callbacks_.ownRegistration, callbacks_.ownEntryFound, [this] { publish(); }})
     , exchange_(executor_, client, clock, random, settings_.self,
                 {[this](const DirectoryMessage *other) { return createMessage(other); },
                  [this](const DirectoryMessage &message) { merge(message); }, [this] { return knownDaemons(); }})
     , configurationWatcher_(
           executor_, store,
           {kindOf(settings_.configurationKey), kConfigurationWatchTimeout, kConfigurationBatchInterval},
-          {[this](const ObjectListing &listing) { handleConfigurationListing(listing); },
-           [this](const ChangeBatch &batch) { handleConfigurationChanges(batch); },
+          {[this](const ObjectListing &listing) { configuration_.receive(listing); },
+           [this](const ChangeBatch &batch) { configuration_.receive(batch); },
            [this](bool available) {
                setStoreAvailable("configuration watch", isConfigurationWatchAvailable_, available);
            }})
@@ -69,7 +65,7 @@
           {[this](const ObjectListing &listing) { handleServerListing(listing); },
            [this](const ChangeBatch &batch) { handleServerChanges(batch); },
            [this](bool available) { setStoreAvailable("backend server watch", isDirectoryWatchAvailable_, available); },
-           [this](const ObjectListing &listing) { handleConfigurationListing(listing); },
+           [this](const ObjectListing &listing) { configuration_.receive(listing); },
            [this] { return configurationWatcher_.position(); }})
     , exchangeTimer_(executor_)
     , unconfirmedTimer_(executor_)
@@ -109,10 +105,8 @@
         if (std::exchange(hasNewCrashReports_, false)) {
             exchange_.propagate();
         }
-        for (const ServerRegistration &left : former_.takeExpired(directory_)) {
-            writer_.removeFormer(left.name, left.startedAt);
-        }
-        if (!isStoreAvailable() || !hasDirectory_ || configuration_.empty() || clock_.now() < exchangeUntil_) {
+        own_.removeExpired(directory_);
+        if (!isStoreAvailable() || !hasDirectory_ || configuration_.text().empty() || clock_.now() < exchangeUntil_) {
             exchange_.tick();
         }
         scheduleExchange();
@@ -134,9 +128,7 @@
     if (directory_.applyDirect(*own)) {
         callbacks_.directoryChanged();
     }
-    withdrawn_.erase(own->name);
-    former_.forget(own->name);
-    writer_.put(*own, std::move(done));
+    own_.put(*own, std::move(done));
     if (!isStoreAvailable()) {
         exchange_.announce();
     }
@@ -150,12 +142,10 @@
         publish(std::move(done));
         return;
     }
-    former_.remember(left);
-    ownEntries_.erase(left.name);
+    own_.retire(left, std::move(done));
     if (directory_.applyDirect(left)) {
         callbacks_.directoryChanged();
     }
-    writer_.put(left, std::move(done));
     if (!isStoreAvailable()) {
         exchange_.announce();
     }
@@ -163,24 +153,17 @@
 
 void DeploymentSync::withdraw(const ServerName &name, RegistrationWriter::Done done)
 {
-    withdrawn_.insert(name);
-    writer_.remove(name, std::move(done));
+    own_.withdraw(name, std::move(done));
 }
 
 void DeploymentSync::withdrawAllExcept(const ServerName &current)
 {
-    for (const ServerName &name : ownEntries_) {
-        if (name != current) {
-            withdraw(name);
-        }
-    }
+    own_.withdrawAllExcept(current);
 }
 
 void DeploymentSync::withdrawAllOwn()
 {
-    for (const ServerName &name : ownEntries_) {
-        withdraw(name);
-    }
+    own_.withdrawAll();
 }
 
 void DeploymentSync::markDraining(const ServerName &name, std::int64_t startedAt)
@@ -220,48 +203,10 @@
     return isConfigurationWatchAvailable_ && isDirectoryWatchAvailable_;
 }
 
-void DeploymentSync::handleConfigurationListing(const ObjectListing &listing)
-{
-    for (const KeyedObject &entry : listing.objects) {
-        if (entry.key == settings_.configurationKey) {
-            adoptConfiguration(entry.object.value, {listing.era, entry.object.version});
-        }
-    }
-}
-
-void DeploymentSync::handleConfigurationChanges(const ChangeBatch &batch)
-{
-    for (const ObjectChange &change : batch.changes) {
-        if (change.key == settings_.configurationKey && !change.removed) {
-            adoptConfiguration(change.object.value, {batch.era, change.object.version});
-        }
-    }
-}
-
-void DeploymentSync::adoptConfiguration(const std::string &value, StoreRevision revision)
-{
-    if (value == configuration_) {
-        configurationRevision_ = std::max(configurationRevision_, revision);
-        return;
-    }
-    const StoreHistory history = historyOf(revision, configurationRevision_);
-    const bool isKnown = history == StoreHistory::Same && revision.number <= configurationRevision_.number;
-    if (isKnown || !callbacks_.adoptConfiguration(value, revision.number, history)) {
-        logEvent(LogEvent::ConfigurationKept, "",
-                 {{"read", revision.number},
-                  {"readEra", revision.era},
-                  {"inForce", configurationRevision_.number},
-                  {"inForceEra", configurationRevision_.era}});
-        return;
-    }
-    configuration_ = value;
-    configurationRevision_ = revision;
-}
-
 std::optional<ServerRegistration> DeploymentSync::readRegistration(const std::string &key,
                                                                    const std::string &value) const
 {
-    const std::optional<ServerName> name = serverOf(key);
+    const std::optional<ServerName> name = serverOfKey(key);
     std::optional<ServerRegistration> registration = name ? parseRegistration(*name, value) : std::nullopt;
     if (!registration) {
         logEvent(LogEvent::RegistrationRejected, "registration " + key + " can't be parsed");
@@ -273,17 +218,19 @@
 {
     const bool cameBack = noticeEra(listing.era);
     std::vector<DirectoryEntry> entries;
-    ownEntries_.clear();
+    own_.beginListing();
     for (const KeyedObject &entry : listing.objects) {
         if (const auto registration = readRegistration(entry.key, entry.object.value)) {
             entries.push_back({*registration, {listing.era, entry.object.version}});
-            handleOwnEntry(*registration);
+            own_.handleEntry(*registration);
         }
     }
     directory_.replace(entries, {listing.era, listing.revision});
     noticeDirectory();
     if (cameBack) {
-        writeAgain(listing);
+        own_.writeAgain(listing);
+        exchangeUntil_ = clock_.now() + kSettlingTime;
+        exchange_.tick();
         removeUnconfirmedLater();
     }
     callbacks_.directoryChanged();
@@ -292,13 +239,13 @@
 void DeploymentSync::handleServerChanges(const ChangeBatch &batch)
 {
     for (const ObjectChange &change : batch.changes) {
-        if (const auto name = change.removed ? serverOf(change.key) : std::nullopt) {
+        if (const auto name = change.removed ? serverOfKey(change.key) : std::nullopt) {
             directory_.remove(*name, {batch.era, change.revision});
-            ownEntries_.erase(*name);
+            own_.entryRemoved(*name);
         } else if (const auto registration = readRegistration(change.key, change.object.value)) {
             directory_.apply(*registration, {batch.era, change.revision});
-            handleOwnEntry(*registration);
-            restoreOwnEntry(*registration);
+            own_.handleEntry(*registration);
+            own_.restore(*registration);
         }
     }
     callbacks_.directoryChanged();
@@ -314,32 +261,6 @@
     return true;
 }
 
-void DeploymentSync::writeAgain(const ObjectListing &listing)
-{
-    writer_.forgetVersions();
-    const std::optional<ServerRegistration> own = callbacks_.ownRegistration();
-    for (const auto &[name, left] : former_.own()) {
-        writer_.put(left);
-    }
-    bool isListed = false;
-    for (const KeyedObject &entry : listing.objects) {
-        const std::optional<ServerName> name = serverOf(entry.key);
-        if (!name) {
-            continue;
-        }
-        if (own && *name == own->name) {
-            isListed = parseRegistration(*name, entry.object.value) == own;
-        } else if (withdrawn_.contains(*name)) {
-            writer_.remove(*name);
-        }
-    }
-    if (own && !isListed) {
-        publish();
-    }
-    exchangeUntil_ = clock_.now() + kSettlingTime;
-    exchange_.tick();
-}
-
 void DeploymentSync::removeUnconfirmedLater()
 {
     unconfirmedTimer_.expires_after(toChrono(kRewriteTime));
@@ -350,44 +271,6 @@
     });
 }
 
-bool DeploymentSync::handleOwnEntry(const ServerRegistration &registration)
-{
-    if (registration.daemon != settings_.self) {
-        return false;
-    }
-    callbacks_.ownEntryFound(registration);
-    if (registration.state == ServerState::Left) {
-        ownEntries_.erase(registration.name);
-        const std::optional<ServerRegistration> own = callbacks_.ownRegistration();
-        const bool isPredecessor = own && own->name == registration.name;
-        return !isPredecessor && former_.remember(registration);
-    }
-    ownEntries_.insert(registration.name);
-    // The local server may check in with a restarted daemon before the daemon has read the entries that the previous
-    // process left in the store.
-    const std::optional<ServerRegistration> current = callbacks_.ownRegistration();
-    if (current && current->name != registration.name && registration.startedAt <= current->startedAt) {
-        withdraw(registration.name);
-    }
-    return false;
-}
-
-void DeploymentSync::restoreOwnEntry(const ServerRegistration &stored)
-{
-    const std::optional<ServerRegistration> current = callbacks_.ownRegistration();
-    const bool isOlderWriteOfThisProcess =
-        current && current->name == stored.name && current->incarnation == stored.incarnation && *current != stored;
-    if (isOlderWriteOfThisProcess && !writer_.isPending(stored.name)) {
-        publish();
-    }
-    const auto left = former_.own().find(stored.name);
-    const bool isOlderThanLeave = left != former_.own().end() && stored.startedAt <= left->second.startedAt
-        && stored.state != ServerState::Left && stored.daemon == settings_.self;
-    if (isOlderThanLeave && !writer_.isPending(stored.name)) {
-        writer_.put(left->second);
-    }
-}
-
 void DeploymentSync::noticeDirectory()
 {
     if (std::exchange(hasDirectory_, true) || !std::exchange(needsPublishing_, false)) {
@@ -423,21 +306,21 @@
 {
     DirectoryMessage message;
     message.sender = settings_.self;
-    message.configurationRevision = configurationRevision_;
-    message.configurationDigest = configurationDigest(configuration_);
+    message.configurationRevision = configuration_.revision();
+    message.configurationDigest = configurationDigest(configuration_.text());
     message.digest = directoryDigest(directory_);
     message.crashes = callbacks_.crashReports();
     if (other == nullptr) {
         if (const auto own = callbacks_.ownRegistration()) {
             message.servers.push_back({*own, {}});
         }
-        for (const auto &[name, left] : former_.own()) {
+        for (const auto &[name, left] : own_.former()) {
             message.servers.push_back({left, {}});
         }
         return message;
     }
     if (other->configurationDigest != message.configurationDigest) {
-        message.configuration = configuration_;
+        message.configuration = configuration_.text();
     }
     if (other->digest != message.digest) {
         for (const auto &[name, entry] : directory_.entries()) {
@@ -450,14 +333,14 @@
 void DeploymentSync::merge(const DirectoryMessage &message)
 {
     if (!message.configuration.empty()) {
-        adoptConfiguration(message.configuration, message.configurationRevision);
+        configuration_.offer(message.configuration, message.configurationRevision);
     }
     const std::optional<ServerRegistration> own = callbacks_.ownRegistration();
     bool changed = false;
     for (const DirectoryEntry &entry : message.servers) {
         if (own && entry.registration.name == own->name) {
             // This daemon's own registration of its local server is authoritative, except that a drain is never undone.
-            if (handleOwnEntry(entry.registration)) {
+            if (own_.handleEntry(entry.registration)) {
                 writer_.put(entry.registration);
             }
             continue;
@@ -467,7 +350,7 @@
         const bool applied =
             isLater ? directory_.apply(entry.registration, entry.revision) : directory_.applyDirect(entry.registration);
         changed = changed || applied;
-        if (handleOwnEntry(entry.registration)) {
+        if (own_.handleEntry(entry.registration)) {
             // The store may have lost it.
             writer_.put(entry.registration);
         }
--- a/src/discovery/deploymentsync.h
+++ b/src/discovery/deploymentsync.h
@@ -1,12 +1,11 @@
 #ifndef HIBISCUS_DISCOVERY_DEPLOYMENTSYNC_H
 #define HIBISCUS_DISCOVERY_DEPLOYMENTSYNC_H
 
-#include "directory/formerservers.h"
+#include "discovery/configurationfollower.h"
 #include "discovery/directoryexchange.h"
-#include "discovery/registrationwriter.h"
+#include "discovery/ownregistrations.h"
 #include "discovery/storewatcher.h"
 
-#include <set>
 #include <string>
 #include <vector>
 
@@ -31,11 +30,7 @@
 {
 public:
     struct Callbacks {
-        /**
-         * Applies a configuration in its stored form; false if it is invalid or not later than the one in force.
-         * @p version is that of the object in the store, which tells which of two is later only within one history.
-         */
-        std::function<bool(const std::string &value, std::uint64_t version, StoreHistory history)> adoptConfiguration;
+        ConfigurationFollower::Adopt adoptConfiguration;
         std::function<void()> directoryChanged;
         /** Called for each registration from the store or another daemon that contains this daemon's address. */
         std::function<void(const ServerRegistration &)> ownEntryFound;
@@ -85,21 +80,12 @@
     bool isStoreAvailable() const;
 
 private:
-    void handleConfigurationListing(const ObjectListing &listing);
-    void handleConfigurationChanges(const ChangeBatch &batch);
-    void adoptConfiguration(const std::string &value, StoreRevision revision);
     void handleServerListing(const ObjectListing &listing);
     void handleServerChanges(const ChangeBatch &batch);
     std::optional<ServerRegistration> readRegistration(const std::string &key, const std::string &value) const;
-    /** Writes the own registration again if the store reports an older write of it, which was delayed there. */
-    void restoreOwnEntry(const ServerRegistration &stored);
     /** Records the era of a response; true if the store came back from an older copy since the last one. */
     bool noticeEra(std::uint64_t era);
-    /** Writes again what the store has lost of this daemon's own servers, as seen in its first listing since. */
-    void writeAgain(const ObjectListing &listing);
     void removeUnconfirmedLater();
-    /** Handles an entry with this daemon's address; true if it says that a server has left, and that was new. */
-    bool handleOwnEntry(const ServerRegistration &registration);
     void setStoreAvailable(const char *watch, bool &state, bool available);
     DirectoryMessage createMessage(const DirectoryMessage *other);
     void merge(const DirectoryMessage &message);
@@ -114,11 +100,6 @@
     DeploymentSyncSettings settings_;
     Callbacks callbacks_;
     ServerDirectory directory_;
-    std::set<ServerName> ownEntries_; ///< Servers whose registrations contain this daemon's address.
-    std::string configuration_; ///< Configuration in force, in its stored form.
-    StoreRevision configurationRevision_;
-    std::set<ServerName> withdrawn_; ///< Servers whose registrations this process has removed.
-    FormerServers former_;
     bool needsPublishing_ = false; ///< The local server checked in before the directory was known.
     std::vector<RegistrationWriter::Done> awaitingDirectory_; ///< Told when that is published.
     std::uint64_t era_ = 0; ///< Latest era of the store that a response named; 0 if it names none.
@@ -129,6 +110,8 @@
     bool hasDirectory_ = false;
     bool stopped_ = false;
     RegistrationWriter writer_;
+    ConfigurationFollower configuration_;
+    OwnRegistrations own_;
     DirectoryExchange exchange_;
     StoreWatcher configurationWatcher_;
     StoreWatcher directoryWatcher_;
--- a/src/discovery/registrationwriter.cpp
+++ b/src/discovery/registrationwriter.cpp
@@ -26,6 +26,11 @@
     return std::string(kRegistrationKind) + "/" + name.value();
 }
 
+std::optional<ServerName> serverOfKey(const std::string &key)
+{
+    return ServerName::parse(std::string_view(key).substr(key.find('/') + 1));
+}
+
 RegistrationWriter::RegistrationWriter(asio::any_io_executor executor, ObjectStore &store)
     : executor_(std::move(executor))
     , store_(store)
--- a/src/discovery/registrationwriter.h
+++ b/src/discovery/registrationwriter.h
@@ -21,6 +21,9 @@
 /** Key of a server's registration in the store. */
 std::string registrationKey(const ServerName &name);
 
+/** Inverse of registrationKey(); empty if the key holds no name. */
+std::optional<ServerName> serverOfKey(const std::string &key);
+
 /**
  * Writes the registrations of this daemon's servers to the store, on a thread of its own since calls to the store
  * block.
