hibiscusctl check-routes: what a route configuration would do, before it is sent

Cause: operators of the users' platform write config/main themselves, and a mistake shows only when callers meet it. The tool checked the product's own files alone. Ruled out: a check in the daemon (it is too late there); findings as errors of the decoder (a configuration that the platform accepted has to be in force, sensible or not). Change: reviewConfiguration() finds entries without effect and contradictions, compareRouteConfigurations() says what differs and what callers would lose, keys by fingerprint only; the command reads the configuration in force from a file or from the platform. Not covered: what needs the number of servers (attempts, allotments, hosts without servers), and the drain against the grace period, which are in other files.

--- a/src/apps/hibiscusctl/commandline.cpp
+++ b/src/apps/hibiscusctl/commandline.cpp
@@ -1,5 +1,6 @@
 #include "commandline.h"
 
+#include "config/configfile.h"
 #include "config/valueformat.h"
 #include "core/randomsource.h"
 #include "core/steadyclock.h"
@@ -10,8 +11,11 @@
 #include "ctl/draincommand.h"
 #include "ctl/historycommand.h"
 #include "ctl/httpdaemonclient.h"
+#include "ctl/routecheckcommand.h"
 #include "ctl/statuscommand.h"
 #include "platform/httpobjectstore.h"
+#include "platformconfigurationdecoder.h"
+#include "platformobjectstore.h"
 
 #include <chrono>
 #include <iostream>
@@ -100,6 +104,7 @@
     app_.footer("Exit codes: 0 done, 1 invalid file or answer, 2 wrong arguments, 3 pending, 4 conflict, 5 no answer "
                 "and nothing written, 6 outcome unknown.");
     addCheck();
+    addCheckRoutes();
     addDiff();
     addApply();
     addStatus();
@@ -113,6 +118,15 @@
     command->add_option("FILE", files_, "Files; rules need their inventory among them")->required();
 }
 
+void CommandLine::addCheckRoutes()
+{
+    CLI::App *command =
+        app_.add_subcommand("check-routes", "Check a route configuration in the platform's format before it is sent");
+    command->add_option("FILE", routesPath_, "Configuration, as it is to be written to the platform")->required();
+    command->add_option("--against", inForcePath_, "Compare with the configuration in this file");
+    addPlatform(command)->description("Compare with the configuration that the platform at this address holds");
+}
+
 void CommandLine::addFiles(CLI::App *command)
 {
     command->add_option("INVENTORY", inventoryPath_, "Inventory file")->required();
@@ -203,6 +217,9 @@
     if (name == "check") {
         return CheckCommand().run(files_);
     }
+    if (name == "check-routes") {
+        return runCheckRoutes();
+    }
     if (name == "diff") {
         return runDiff();
     }
@@ -220,6 +237,32 @@
     return HistoryCommand(store).run({historyLimit_ == 0 ? defaultLimit : historyLimit_, changeId_});
 }
 
+CommandResult CommandLine::runCheckRoutes()
+{
+    const auto candidate = readConfigFile(routesPath_);
+    if (!candidate) {
+        return invalidFiles({candidate.error()});
+    }
+    const PlatformConfigurationDecoder decoder;
+    std::optional<NamedText> inForce;
+    if (!inForcePath_.empty()) {
+        const auto text = readConfigFile(inForcePath_);
+        if (!text) {
+            return invalidFiles({text.error()});
+        }
+        inForce = NamedText{inForcePath_, *text};
+    } else if (!platform_.empty()) {
+        StoreTransportSettings settings;
+        settings.address = HostAddress(platform_);
+        const auto stored = PlatformObjectStore(settings).get(decoder.key());
+        if (!stored) {
+            return failure(ExitCode::Unavailable, "the platform: " + std::string(storeErrorName(stored.error())));
+        }
+        inForce = NamedText{decoder.key(), stored->value};
+    }
+    return RouteCheckCommand(decoder).run({routesPath_, *candidate}, inForce);
+}
+
 CommandResult CommandLine::runDiff()
 {
     if (oldFiles_.empty() && platform_.empty()) {
--- a/src/apps/hibiscusctl/commandline.h
+++ b/src/apps/hibiscusctl/commandline.h
@@ -25,6 +25,7 @@
 
 private:
     void addCheck();
+    void addCheckRoutes();
     void addDiff();
     void addApply();
     void addStatus();
@@ -34,6 +35,7 @@
     CLI::Option *addPlatform(CLI::App *command);
 
     CommandResult dispatch();
+    CommandResult runCheckRoutes();
     CommandResult runDiff();
     CommandResult runApply();
     CommandResult runStatus();
@@ -43,6 +45,8 @@
     bool json_ = false;
     std::string platform_;
     std::vector<std::string> files_;
+    std::string routesPath_;
+    std::string inForcePath_;
     std::string inventoryPath_;
     std::string rulesPath_;
     std::vector<std::string> oldFiles_;
--- a/src/config/configurationdifference.cpp
+++ b/src/config/configurationdifference.cpp
@@ -1,62 +1,14 @@
 #include "config/configurationdifference.h"
 
+#include "config/entrydifference.h"
 #include "config/valueformat.h"
 
-#include <algorithm>
-#include <cstddef>
-#include <map>
-#include <utility>
-
 namespace Hibiscus
 {
 
 namespace
 {
 
-/** Named values of one entry, in the order in which they are printed. */
-using Fields = std::vector<std::pair<std::string, std::string>>;
-/** Entries of one kind by key. */
-using Entries = std::map<std::string, Fields>;
-
-std::string formatFields(const Fields &fields)
-{
-    std::string text;
-    for (const auto &[name, value] : fields) {
-        text += (text.empty() ? ": " : ", ") + name + " " + value;
-    }
-    return text;
-}
-
-std::string formatChangedFields(const Fields &before, const Fields &after)
-{
-    std::string text;
-    for (std::size_t i = 0; i < before.size(); ++i) {
-        if (before[i].second != after[i].second) {
-            text += (text.empty() ? ": " : ", ") + before[i].first + " " + before[i].second + " -> " + after[i].second;
-        }
-    }
-    return text;
-}
-
-/** Appends one line for each entry that was removed, changed or added. */
-void compareEntries(const std::string &kind, const Entries &before, const Entries &after,
-                    std::vector<std::string> &lines)
-{
-    for (const auto &[key, fields] : before) {
-        const auto found = after.find(key);
-        if (found == after.end()) {
-            lines.push_back("- " + kind + " " + key + formatFields(fields));
-        } else if (found->second != fields) {
-            lines.push_back("~ " + kind + " " + key + formatChangedFields(fields, found->second));
-        }
-    }
-    for (const auto &[key, fields] : after) {
-        if (!before.contains(key)) {
-            lines.push_back("+ " + kind + " " + key + formatFields(fields));
-        }
-    }
-}
-
 Entries domainsOf(const Inventory &inventory)
 {
     Entries entries;
@@ -117,15 +69,6 @@
     return text;
 }
 
-void compareScalar(const std::string &name, const std::string &before, const std::string &after,
-                   std::vector<std::string> &lines)
-{
-    if (before == after) {
-        return;
-    }
-    lines.push_back("~ " + name + ": " + (before.empty() ? "none" : before) + " -> " + after);
-}
-
 } // namespace
 
 std::vector<std::string> describeDifference(const Inventory &oldInventory, const Rules &oldRules,
