--- a/src/teams/apikey.cpp
+++ b/src/teams/apikey.cpp
@@ -19,6 +19,11 @@
     return difference == 0;
 }
 
+std::uint64_t ApiKey::hash(std::uint64_t seed) const
+{
+    return stableHash(secret_, seed);
+}
+
 std::string ApiKey::fingerprint() const
 {
     constexpr std::uint64_t kShownBits = 0xFFFF'FFFF;
--- a/src/teams/apikey.h
+++ b/src/teams/apikey.h
@@ -1,6 +1,8 @@
 #ifndef HIBISCUS_TEAMS_APIKEY_H
 #define HIBISCUS_TEAMS_APIKEY_H
 
+#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -23,6 +25,14 @@
     /** Whether @p candidate is this key. Takes equally long for all candidates of the key's length. */
     bool matches(std::string_view candidate) const;
 
+    /** Hash of the key for an index. With a secret @p seed, nobody outside can choose keys that collide. */
+    std::uint64_t hash(std::uint64_t seed) const;
+
+    std::size_t size() const
+    {
+        return secret_.size();
+    }
+
     /** Short digest by which operators tell keys apart. The key can't be derived from it. */
     std::string fingerprint() const;
 
