RoutedCallHandler: callers are identified by key, ranked by team, and held to their allotments

Cause: requests without a key, with an unknown or a withdrawn one ran; a server was told of no team and saw the key. Ruled out: judging the key of a connection once, since keys are withdrawn while it is open; serving a call without a key whose parent isn't known, since after a restart of the daemon it can't be told from a caller without a key; 401 for it, since the server's callers would take that for their own fault; the team's name on nested calls, whose callers hold no key. Change: CallerIdentifier decides who calls, by the configuration in force at the moment of the request. The order is configuration, route, key, allotment. RequestRanks says what a request's rank is: the priority of the team goes before that of the route. AllotmentGate is asked after the key and gets back what did not run, once. fairBucket() orders the requests of a rank by what their team uses of its allotment. Without teams nothing of this is asked or changed.

--- a/src/config/routetable.cpp
+++ b/src/config/routetable.cpp
@@ -16,12 +16,13 @@
 
 } // namespace
 
-RouteTable::RouteTable(RouteConfiguration configuration)
+RouteTable::RouteTable(RouteConfiguration configuration, std::uint64_t keySeed)
     : configuration_(std::move(configuration))
+    , ranks_(configuration_)
+    , keys_(configuration_.teams, keySeed)
 {
     for (const Route &route : configuration_.routes) {
         hosts_[normalizeHost(route.host)][route.pathPrefix] = &route;
-        priorityCount_ = std::max(priorityCount_, route.priority + 1);
     }
 }
 
@@ -49,11 +50,6 @@
     return found == configuration_.services.end() ? nullptr : &*found;
 }
 
-int RouteTable::priorityCount() const
-{
-    return priorityCount_;
-}
-
 const ServiceName &chooseTarget(const Route &route, std::uint64_t hash)
 {
     constexpr std::uint64_t kResolution = 1U << 20U;
--- a/src/config/routetable.h
+++ b/src/config/routetable.h
@@ -1,7 +1,10 @@
 #ifndef HIBISCUS_CONFIG_ROUTETABLE_H
 #define HIBISCUS_CONFIG_ROUTETABLE_H
 
+#include "config/requestranks.h"
 #include "config/routeconfiguration.h"
+#include "core/randomsource.h"
+#include "teams/teamkeys.h"
 
 #include <cstdint>
 #include <map>
@@ -17,7 +20,10 @@
 class RouteTable
 {
 public:
-    explicit RouteTable(RouteConfiguration configuration);
+    /** @p keySeed is the secret seed of the index of keys; see TeamKeys. */
+    explicit RouteTable(RouteConfiguration configuration, std::uint64_t keySeed = DeviceRandom().next());
+    RouteTable(const RouteTable &) = delete;
+    RouteTable &operator=(const RouteTable &) = delete;
 
     const RouteConfiguration &configuration() const
     {
@@ -30,8 +36,15 @@
     /** Profile of a service; null if the configuration doesn't name it. */
     const ServiceProfile *service(const ServiceName &name) const;
 
-    /** Number of priority levels: the largest priority of all routes plus 1. */
-    int priorityCount() const;
+    const RequestRanks &ranks() const
+    {
+        return ranks_;
+    }
+
+    const TeamKeys &keys() const
+    {
+        return keys_;
+    }
 
 private:
     /** Routes of one host by path prefix. */
@@ -39,7 +52,8 @@
 
     RouteConfiguration configuration_;
     std::unordered_map<std::string, Prefixes> hosts_;
-    int priorityCount_ = 1;
+    RequestRanks ranks_;
+    TeamKeys keys_;
 };
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
--- a/src/core/autotests/errorkindtest.cpp
+++ b/src/core/autotests/errorkindtest.cpp
@@ -7,7 +7,7 @@
 TEST_CASE("ErrorKind: another server may be tried only if the request did not run")
 {
     // Guards against a retry of a request whose outcome is unknown.
-    for (int i = 0; i <= static_cast<int>(ErrorKind::AllotmentUnknown); ++i) {
+    for (int i = 0; i <= static_cast<int>(ErrorKind::ParentUnknown); ++i) {
         const ErrorResponse &response = errorResponseFor(static_cast<ErrorKind>(i));
         CAPTURE(response.name);
         CHECK((!response.otherServerMayBeTried || response.outcome == Outcome::NotRun));
--- a/src/core/errorkind.cpp
+++ b/src/core/errorkind.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr std::array<ErrorResponse, 30> kResponses{{
+constexpr std::array<ErrorResponse, 31> kResponses{{
     {ErrorKind::BadRequest, "bad-request", 400, Outcome::NotRun, false},
     {ErrorKind::UnknownService, "unknown-service", 404, Outcome::NotRun, false},
     {ErrorKind::BodyTooLarge, "body-too-large", 413, Outcome::NotRun, false},
@@ -39,6 +39,7 @@
     {ErrorKind::UnknownCaller, "unknown-caller", 401, Outcome::NotRun, false},
     {ErrorKind::OverAllotment, "over-allotment", 429, Outcome::NotRun, false},
     {ErrorKind::AllotmentUnknown, "allotment-unknown", 503, Outcome::NotRun, false},
+    {ErrorKind::ParentUnknown, "parent-unknown", 503, Outcome::NotRun, false},
 }};
 
 constexpr bool isIndexedByKind()
--- a/src/core/errorkind.h
+++ b/src/core/errorkind.h
@@ -48,6 +48,7 @@
     UnknownCaller,
     OverAllotment,
     AllotmentUnknown,
+    ParentUnknown,
 };
 
 /** Response to a request that failed with an error kind. */
--- a/src/core/logevent.cpp
+++ b/src/core/logevent.cpp
@@ -20,7 +20,7 @@
 namespace
 {
 
-constexpr std::array<LogEventInfo, 31> kEvents{{
+constexpr std::array<LogEventInfo, 32> kEvents{{
     {LogEvent::DaemonStarted, "daemon-started", Severity::Info},
     {LogEvent::DaemonDraining, "daemon-draining", Severity::Info},
     {LogEvent::DaemonStopped, "daemon-stopped", Severity::Info},
@@ -42,6 +42,7 @@
     {LogEvent::AttemptRefused, "attempt-refused", Severity::Info, true},
     {LogEvent::AttemptFailed, "attempt-failed", Severity::Warning, true},
     {LogEvent::RequestCancelled, "request-cancelled", Severity::Info, true},
+    {LogEvent::CallerRefused, "caller-refused", Severity::Info, true},
     {LogEvent::ConfigurationAdopted, "configuration-adopted", Severity::Info},
     {LogEvent::ConfigurationRejected, "configuration-rejected", Severity::Error},
     {LogEvent::ConfigurationKept, "configuration-kept", Severity::Info, true},
--- a/src/core/logevent.h
+++ b/src/core/logevent.h
@@ -33,6 +33,7 @@
     AttemptRefused = 2214,
     AttemptFailed = 2215,
     RequestCancelled = 2216,
+    CallerRefused = 2217,
     ConfigurationAdopted = 3101,
     ConfigurationRejected = 3103,
     ConfigurationKept = 3104,
--- a/src/mesh/autotests/testmesh.h
+++ b/src/mesh/autotests/testmesh.h
@@ -43,7 +43,7 @@
         metadata.parentId = metadata.requestId.substr(0, dot == std::string::npos ? 0 : dot);
         return metadata;
     }
-    HttpHeaders forwardedHeaders(const HttpRequest &request, const ServiceName &) const override
+    HttpHeaders forwardedHeaders(const HttpRequest &request, const CallerDescription &) const override
     {
         return request.headers;
     }
--- a/src/mesh/meshdaemon.cpp
+++ b/src/mesh/meshdaemon.cpp
@@ -269,7 +269,7 @@
 void MeshDaemon::Private::configureAdmission()
 {
     const int slots = localServer.current() ? localServer.current()->slots : 1;
-    const int classes = routes ? routes->priorityCount() : 1;
+    const int classes = routes ? routes->ranks().count() : 1;
     tables.admission.with([&](AdmissionController &admission) {
         admission.configure(AdmissionSettings{slots, classes});
     });
--- a/src/mesh/routedcallhandler.cpp
+++ b/src/mesh/routedcallhandler.cpp
@@ -4,6 +4,7 @@
 #include "core/chronotime.h"
 #include "core/contenthash.h"
 #include "core/logevent.h"
+#include "teams/fairorder.h"
 
 #include <algorithm>
 
@@ -20,6 +21,8 @@
 constexpr double kRetryAfterShare = 0.2;
 /** The delay varies at random by this fraction in both directions, so that refused callers do not return together. */
 constexpr double kRetryAfterJitter = 0.5;
+/** The time at which a team has room again is named up to this fraction later, for the same reason. */
+constexpr double kAllotmentRetryAfterSpread = 0.25;
 /** Base of the delay for a request that is refused before its route is known. */
 constexpr Millis kUnknownRouteRetryAfter{500};
 
@@ -42,6 +45,8 @@
     bool idempotent = false;
     AttemptId parent; ///< Attempt of the local backend server that makes this call.
     std::optional<ChildCall> child; ///< Set for a call that the local backend server makes for a request it runs.
+    std::optional<TeamName> team; ///< Team that makes the call; empty for nested calls and on public routes.
+    bool isCharged = false; ///< The call was taken from the allotment of its team.
     bool done = false;
 };
 
@@ -49,6 +54,7 @@
     : services_(services)
     , protocol_(protocol)
     , caller_(std::move(caller))
+    , identifier_(services.tables.scopes)
 {
 }
 
@@ -57,6 +63,11 @@
     routes_ = std::move(routes);
 }
 
+void RoutedCallHandler::setAllotmentGate(AllotmentGate *gate)
+{
+    gate_ = gate;
+}
+
 void RoutedCallHandler::drain()
 {
     draining_ = true;
@@ -93,32 +104,78 @@
     call->routeName = route->name;
     call->latencyTarget = route->latencyTarget;
     call->idempotent = route->idempotent;
-    CallRequest callRequest = makeRequest(std::move(request), *route, call->metadata);
+    const Result<CallerIdentity> identity = identifier_.identify(*routes_, *route, call->metadata);
+    call->metadata.credential = {};
+    if (!identity) {
+        finish(call, failedResult(identity.error()));
+        return;
+    }
+    CallRequest callRequest = makeRequest(std::move(request), *route, call->metadata, *identity);
     if (!linkToParent(*call, callRequest)) {
         finish(call, failedResult(ErrorKind::DeadlineBeforeRun));
         return;
     }
-    const Millis timeLeft = callRequest.deadline - call->started;
+    if (identity->isNested && !call->child) {
+        finish(call, failedResult(ErrorKind::ParentUnknown));
+        return;
+    }
+    startDeadlineTimer(call, callRequest.deadline - call->started);
+    if (identity->team != nullptr && gate_ != nullptr) {
+        askAllotment(call, std::move(callRequest), identity->team->name);
+        return;
+    }
+    run(call, std::move(callRequest));
+}
+
+void RoutedCallHandler::askAllotment(const CallPtr &call, CallRequest request, const TeamName &team)
+{
+    call->team = team;
+    const auto shared = std::make_shared<CallRequest>(std::move(request));
+    gate_->admit(team, [this, call, shared](const AllotmentDecision &decision) {
+        allotmentDecided(call, std::move(*shared), decision);
+    });
+}
+
+void RoutedCallHandler::allotmentDecided(const CallPtr &call, CallRequest request, const AllotmentDecision &decision)
+{
+    if (decision.refusal) {
+        CallResult result = failedResult(*decision.refusal);
+        const double fraction = services_.random.with([](DeviceRandom &random) { return random.fraction(); });
+        result.retryAfter = decision.retryAfter * (1 + kAllotmentRetryAfterSpread * fraction);
+        finish(call, std::move(result));
+        return;
+    }
+    if (call->done) {
+        // The caller has left, or its deadline has passed, while another daemon decided.
+        gate_->giveBack(*call->team);
+        return;
+    }
+    call->isCharged = true;
+    request.root.bucket = fairBucket(stableHash(request.requestId), decision.usedShare);
+    run(call, std::move(request));
+}
+
+void RoutedCallHandler::run(const CallPtr &call, CallRequest request)
+{
     const auto attempts = std::make_shared<CallAttempts>(
-        services_, std::move(callRequest), [this, call](CallResult result) { finish(call, std::move(result)); });
+        services_, std::move(request), [this, call](CallResult result) { finish(call, std::move(result)); });
     call->attempts = attempts;
-    startDeadlineTimer(call, timeLeft);
     attempts->start();
 }
 
 CallRequest RoutedCallHandler::makeRequest(HttpRequest request, const Route &route,
-                                           const CallerRequestMetadata &metadata) const
+                                           const CallerRequestMetadata &metadata, const CallerIdentity &identity) const
 {
     const std::uint64_t hash = stableHash(metadata.requestId);
     CallRequest call;
     call.service = chooseTarget(route, hash);
     call.method = std::move(request.method);
     call.path = std::move(request.target);
-    call.headers = protocol_.forwardedHeaders(request, caller_);
+    call.headers = protocol_.forwardedHeaders(request, describe(identity));
     call.host = std::move(request.host);
     call.body = std::move(request.body);
     call.root.requestClass = ClassName(route.name);
-    call.root.rank = routes_->priorityCount() - 1 - route.priority;
+    call.root.rank = routes_->ranks().rankOf(route, identity.team);
     call.root.bucket = static_cast<int>(hash / kBuckets % kBuckets);
     call.repeatable = route.idempotent;
     call.deadline = services_.clock.now() + std::min(route.timeout, metadata.timeout.value_or(route.timeout));
@@ -130,6 +187,15 @@
     return call;
 }
 
+CallerDescription RoutedCallHandler::describe(const CallerIdentity &identity) const
+{
+    CallerDescription caller{caller_, {}, !routes_->configuration().teams.empty()};
+    if (identity.team != nullptr) {
+        caller.team = identity.team->name;
+    }
+    return caller;
+}
+
 /** Lets a nested call inherit rank, deadline and attempt budget from the request for which the local backend server
  * makes it. False if that request was abandoned, so that nobody waits for the result of the call. */
 bool RoutedCallHandler::linkToParent(Call &call, CallRequest &request)
@@ -162,13 +228,15 @@
 void RoutedCallHandler::startDeadlineTimer(const CallPtr &call, Millis delay)
 {
     call->timer.expires_after(toChrono(delay));
-    call->timer.async_wait([call](const asio::error_code &error) {
+    call->timer.async_wait([this, call](const asio::error_code &error) {
         if (error || call->done) {
             return;
         }
         if (const auto attempts = call->attempts.lock()) {
             attempts->expire();
+            return;
         }
+        finish(call, failedResult(ErrorKind::DeadlineBeforeRun));
     });
 }
 
@@ -181,8 +249,13 @@
     const std::vector<CallPtr> calls = std::move(found->second);
     calls_.erase(found);
     for (const CallPtr &call : calls) {
-        if (const auto attempts = call->done ? nullptr : call->attempts.lock()) {
+        if (call->done) {
+            continue;
+        }
+        if (const auto attempts = call->attempts.lock()) {
             attempts->cancel();
+        } else {
+            finish(call, failedResult(ErrorKind::Cancelled));
         }
     }
 }
@@ -210,6 +283,9 @@
     if (result.outcome() == Outcome::NotRun) {
         result.retryAfter = std::max(result.retryAfter.value_or(Millis{0}), retryAfterDelay(call->latencyTarget));
     }
+    if (call->isCharged && result.outcome() == Outcome::NotRun) {
+        gate_->giveBack(*call->team);
+    }
     logFailure(*call, result);
     HttpResponse response = protocol_.encode(call->metadata, std::move(result));
     response.closesConnection = draining_;
--- a/src/mesh/routedcallhandler.h
+++ b/src/mesh/routedcallhandler.h
@@ -5,7 +5,9 @@
 #include "daemon/callattempts.h"
 #include "daemon/callservices.h"
 #include "http/httphandler.h"
+#include "mesh/calleridentity.h"
 #include "mesh/callerprotocol.h"
+#include "teams/allotmentgate.h"
 
 #include <memory>
 #include <unordered_map>
@@ -24,6 +26,9 @@
     /** Uses a configuration for the requests that arrive from now on. */
     void setRoutes(RouteTablePtr routes);
 
+    /** Asks @p gate whether the requests of teams lie within their allotments; null for no limits. */
+    void setAllotmentGate(AllotmentGate *gate);
+
     /** Makes every response from now on close its connection. */
     void drain();
 
@@ -38,7 +43,12 @@
     struct Call;
     using CallPtr = std::shared_ptr<Call>;
 
-    CallRequest makeRequest(HttpRequest request, const Route &route, const CallerRequestMetadata &metadata) const;
+    CallRequest makeRequest(HttpRequest request, const Route &route, const CallerRequestMetadata &metadata,
+                            const CallerIdentity &identity) const;
+    CallerDescription describe(const CallerIdentity &identity) const;
+    void askAllotment(const CallPtr &call, CallRequest request, const TeamName &team);
+    void allotmentDecided(const CallPtr &call, CallRequest request, const AllotmentDecision &decision);
+    void run(const CallPtr &call, CallRequest request);
     bool linkToParent(Call &call, CallRequest &request);
     void startDeadlineTimer(const CallPtr &call, Millis delay);
     void finish(const CallPtr &call, CallResult result);
@@ -48,6 +58,8 @@
     CallServices &services_;
     const CallerProtocol &protocol_;
     ServiceName caller_;
+    CallerIdentifier identifier_;
+    AllotmentGate *gate_ = nullptr;
     RouteTablePtr routes_;
     std::unordered_map<std::uint64_t, std::vector<CallPtr>> calls_; ///< By connection.
     std::size_t activeCalls_ = 0;
