--- a/src/core/logevent.cpp
+++ b/src/core/logevent.cpp
@@ -42,6 +42,7 @@
     {LogEvent::AttemptRefused, "attempt-refused", Severity::Info, true},
     {LogEvent::AttemptFailed, "attempt-failed", Severity::Warning, true},
     {LogEvent::RequestCancelled, "request-cancelled", Severity::Info, true},
+    {LogEvent::CallerRefused, "caller-refused", Severity::Info, true},
     {LogEvent::ConfigurationAdopted, "configuration-adopted", Severity::Info},
     {LogEvent::ConfigurationRejected, "configuration-rejected", Severity::Error},
     {LogEvent::ConfigurationKept, "configuration-kept", Severity::Info, true},
