Tables of log events and error kinds count their entries themselves

Cause: each table named its size, so two branches that each add an entry merge without a conflict and don't build. Change: std::to_array. Measured: it builds; the check that the kinds stand in the order of the enum is as before.

--- a/src/core/errorkind.cpp
+++ b/src/core/errorkind.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr std::array<ErrorResponse, 31> kResponses{{
+constexpr auto kResponses = std::to_array<ErrorResponse>({
     {ErrorKind::BadRequest, "bad-request", 400, Outcome::NotRun, false},
     {ErrorKind::UnknownService, "unknown-service", 404, Outcome::NotRun, false},
     {ErrorKind::BodyTooLarge, "body-too-large", 413, Outcome::NotRun, false},
@@ -40,7 +40,7 @@
     {ErrorKind::OverAllotment, "over-allotment", 429, Outcome::NotRun, false},
     {ErrorKind::AllotmentUnknown, "allotment-unknown", 503, Outcome::NotRun, false},
     {ErrorKind::ParentUnknown, "parent-unknown", 503, Outcome::NotRun, false},
-}};
+});
 
 constexpr bool isIndexedByKind()
 {
--- a/src/core/logevent.cpp
+++ b/src/core/logevent.cpp
@@ -20,7 +20,7 @@
 namespace
 {
 
-constexpr std::array<LogEventInfo, 32> kEvents{{
+constexpr auto kEvents = std::to_array<LogEventInfo>({
     {LogEvent::DaemonStarted, "daemon-started", Severity::Info},
     {LogEvent::DaemonDraining, "daemon-draining", Severity::Info},
     {LogEvent::DaemonStopped, "daemon-stopped", Severity::Info},
@@ -54,7 +54,7 @@
     {LogEvent::RegistrationRejected, "registration-rejected", Severity::Warning, true},
     {LogEvent::RegistrationKept, "registration-kept", Severity::Info, true},
     {LogEvent::StoreEntryUnreadable, "store-entry-unreadable", Severity::Warning, true},
-}};
+});
 
 std::string_view severityName(Severity severity)
 {
