Tests: callers of teams at one daemon, their keys and what they draw from an allotment

Change: routedteamtest plays one daemon with a backend server, teams and a gate that the test steers: keys that are added and withdrawn between requests, public routes, nested calls with a known and an unknown parent, refusals, and decisions that come after the caller has left or the deadline has passed.

--- a/src/mesh/autotests/testmesh.h
+++ b/src/mesh/autotests/testmesh.h
@@ -25,6 +25,8 @@
 {
 
 inline constexpr const char *kRequestField = "X-Request";
+inline constexpr const char *kTeamField = "X-Team";
+inline constexpr const char *kRetryAfterField = "X-Retry-After"; ///< In ms.
 inline constexpr int kSlots = 40;
 inline constexpr std::int64_t kServerStart = 1000; ///< Start of a server whose report names none.
 inline constexpr const char *kOnceHost = "once"; ///< Requests to this host may run once at most.
@@ -41,16 +43,30 @@
         }
         const std::size_t dot = metadata.requestId.rfind('.');
         metadata.parentId = metadata.requestId.substr(0, dot == std::string::npos ? 0 : dot);
+        if (const auto credential = request.headers.find("Authorization")) {
+            metadata.credential = parseCredential({*credential});
+        }
         return metadata;
     }
-    HttpHeaders forwardedHeaders(const HttpRequest &request, const CallerDescription &) const override
+    HttpHeaders forwardedHeaders(const HttpRequest &request, const CallerDescription &caller) const override
     {
-        return request.headers;
+        HttpHeaders headers = request.headers;
+        if (caller.hidesCredential) {
+            headers.remove("Authorization");
+        }
+        if (caller.team) {
+            headers.set(kTeamField, caller.team->value());
+        }
+        return headers;
     }
     HttpResponse encode(const CallerRequestMetadata &, CallResult result) const override
     {
-        return result.response ? *result.response
-                               : HttpResponse{errorResponseFor(result.response.error()).httpStatus, {}, ""};
+        if (result.response) {
+            return *result.response;
+        }
+        HttpResponse response{errorResponseFor(result.response.error()).httpStatus, {}, ""};
+        response.headers.set(kRetryAfterField, std::to_string(result.retryAfter.value_or(Millis{0}).value));
+        return response;
     }
 };
 
