Teams: allotments are lent by one daemon to those that get the requests

Cause: an allotment holds over all daemons, of which each sees a part of a team's requests that changes. Nothing decided how much of it each may admit.

--- /dev/null
+++ b/src/teams/lenderplan.h
@@ -0,0 +1,30 @@
+#ifndef HIBISCUS_TEAMS_LENDERPLAN_H
+#define HIBISCUS_TEAMS_LENDERPLAN_H
+
+#include "core/ids.h"
+
+#include <map>
+#include <optional>
+
+namespace Hibiscus
+{
+
+/** One of the groups of teams that have the same lender. */
+using Partition = StrongId<struct PartitionTag, unsigned>;
+
+/** Daemons of the deployment by their peers listeners. */
+using Daemons = std::map<HostAddress, Incarnation>;
+
+/** Number of partitions. Each daemon sends up to this many reports in an interval. */
+inline constexpr unsigned kPartitions = 4;
+
+/** Partition of a team; the same in every process. */
+Partition partitionOf(const TeamName &team);
+
+/** Daemon that lends the allotments of a partition, by rendezvous hashing: the daemons that join or leave move few
+ * partitions. Empty if there are no daemons. */
+std::optional<HostAddress> lenderOf(Partition partition, const Daemons &daemons);
+
+} // namespace Hibiscus
+
+#endif
--- /dev/null
+++ b/src/teams/teamledger.cpp
@@ -0,0 +1,178 @@
+#include "teams/teamledger.h"
+
+#include "teams/allotmentterms.h"
+
+#include <algorithm>
+
+namespace Hibiscus
+{
+
+namespace
+{
+
+constexpr double kMillisPerSecond = 1000;
+/** A silent holder whose process can't run any more is forgotten after this time. */
+constexpr Millis kForgetAfter{2000};
+/** Part of the allotment that is given out in shares; the rest is at hand for daemons that get their first requests. */
+constexpr double kSharedPart = 0.95;
+/** Demand relative to the rate from which on tokens are divided; below, the burst evens it out. */
+constexpr double kOverload = 1.2;
+constexpr Millis kShortestRetry{50};
+constexpr Millis kLongestRetry{10000};
+
+} // namespace
+
+TeamLedger::TeamLedger(const Allotment &allotment, TimePoint now)
+    : allotment_(allotment)
+    , refilledAt_(now)
+{
+}
+
+void TeamLedger::setAllotment(const Allotment &allotment, TimePoint now)
+{
+    if (allotment == allotment_) {
+        return;
+    }
+    refill(lendableRate(), now);
+    const bool wasUnlimited = allotment_.isUnlimited();
+    allotment_ = allotment;
+    bucket_ = wasUnlimited ? burst() : std::min(bucket_, burst());
+}
+
+AllotmentGrant TeamLedger::lend(const HostAddress &holder, Incarnation incarnation, const AllotmentDemand &demand,
+                                TimePoint now)
+{
+    if (allotment_.isUnlimited()) {
+        return {demand.team, demand.wanted, 0, 0, 0, {}};
+    }
+    refill(lendableRate(), now);
+    const auto [found, isNew] = loans_.try_emplace(holder);
+    Loan &loan = found->second;
+    const Millis sinceLast = isNew ? AllotmentTerms::kReportInterval : now - loan.heardAt;
+    if (!isNew) {
+        count(loan, -1);
+    }
+    loan = {
+        incarnation, demand.demand.perSecond, demand.usual.perSecond, std::min(demand.share, 1.0), demand.stock, now,
+        false};
+    count(loan, 1);
+    bucket_ = std::min(bucket_ + demand.returned, std::max(0.0, burst() - tokensOut_ - silentBursts_));
+
+    const double tokens = grantTokens(demand, sinceLast);
+    bucket_ -= tokens;
+    count(loan, -1);
+    const double share = grantShare(loan);
+    loan.tokens += tokens;
+    loan.share = std::max(loan.share, share);
+    count(loan, 1);
+    AllotmentGrant grant = describe(loan);
+    grant.team = demand.team;
+    grant.tokens = tokens;
+    grant.share = share;
+    grant.ownBurst = ownBurst(share);
+    return grant;
+}
+
+void TeamLedger::release(const HostAddress &holder)
+{
+    const auto found = loans_.find(holder);
+    if (found == loans_.end()) {
+        return;
+    }
+    count(found->second, -1);
+    loans_.erase(found);
+}
+
+void TeamLedger::settle(const View &view, TimePoint now)
+{
+    const RequestRate before = lendableRate();
+    std::erase_if(loans_, [&](const auto &entry) {
+        return now - entry.second.heardAt > kForgetAfter && !view.mayRun(entry.first, entry.second.incarnation);
+    });
+    demand_ = usual_ = liveShare_ = silentShare_ = tokensOut_ = silentBursts_ = 0;
+    for (auto &[holder, loan] : loans_) {
+        loan.isSilent = now - loan.heardAt > AllotmentTerms::kSilentAfter;
+        if (now - loan.heardAt > AllotmentTerms::kTokenLifetime) {
+            loan.tokens = 0;
+        }
+        count(loan, 1);
+    }
+    const double notHeld = std::max(0.0, 1 - liveShare_ - silentShare_);
+    const bool mayHoldAll = view.isTakingOver && view.unheard > 0;
+    assumedShare_ = mayHoldAll ? notHeld : std::min(notHeld, view.unheard);
+    refill(std::min(before, lendableRate()), now);
+}
+
+void TeamLedger::refill(RequestRate rate, TimePoint now)
+{
+    const double seconds = (now - refilledAt_).value / kMillisPerSecond;
+    refilledAt_ = now;
+    const double limit = std::max(0.0, burst() - tokensOut_ - silentBursts_);
+    bucket_ = std::min(bucket_ + rate.perSecond * seconds, limit);
+}
+
+void TeamLedger::count(const Loan &loan, double sign)
+{
+    tokensOut_ += sign * loan.tokens;
+    if (loan.isSilent) {
+        silentShare_ += sign * loan.share;
+        silentBursts_ += sign * ownBurst(loan.share);
+        return;
+    }
+    liveShare_ += sign * loan.share;
+    demand_ += sign * loan.demand;
+    usual_ += sign * loan.usual;
+}
+
+double TeamLedger::ownBurst(double share) const
+{
+    return share * burst();
+}
+
+double TeamLedger::burst() const
+{
+    return allotment_.burst + kSlack;
+}
+
+RequestRate TeamLedger::lendableRate() const
+{
+    return {allotment_.rate.perSecond * std::clamp(1 - silentShare_ - assumedShare_, 0.0, 1.0)};
+}
+
+double TeamLedger::grantTokens(const AllotmentDemand &demand, Millis sinceLast)
+{
+    const double rate = lendableRate().perSecond;
+    if (demand_ <= rate * kOverload) {
+        return std::min(demand.wanted, bucket_);
+    }
+    // A holder that reports more often than others gets no more than they.
+    const double due = std::min(1.0, sinceLast.value / AllotmentTerms::kReportInterval.value);
+    const double part = bucket_ * due * demand.demand.perSecond / demand_;
+    const double spare = bucket_ - rate * AllotmentTerms::kReportInterval.value / kMillisPerSecond;
+    return std::min(demand.wanted, std::max(part, spare));
+}
+
+/** Share for a holder in proportion to its usual demand. @p loan is not counted. */
+double TeamLedger::grantShare(const Loan &loan) const
+{
+    const double all = usual_ + loan.usual;
+    if (all <= 0) {
+        return 0;
+    }
+    const double free = 1 - silentShare_ - assumedShare_;
+    const double target = kSharedPart * free * loan.usual / all;
+    return std::clamp(free - liveShare_, 0.0, std::max(0.0, target));
+}
+
+AllotmentGrant TeamLedger::describe(const Loan &loan) const
+{
+    AllotmentGrant grant;
+    grant.usedShare = std::min(1.0, demand_ / allotment_.rate.perSecond);
+    const double part = demand_ > 0 ? loan.demand / demand_ : 1;
+    const double rate = lendableRate().perSecond * part;
+    const Millis perToken = rate > 0 ? Millis{kMillisPerSecond / rate} : kLongestRetry;
+    grant.retryAfter = std::clamp(perToken, kShortestRetry, kLongestRetry);
+    return grant;
+}
+
+} // namespace Hibiscus
