TeamLedger: requests that wait come before tokens for requests to come; small bursts are divided more often

Cause: with real sockets and a burst of a fifth of a second, three daemons within the allotment refused 12 of 225 requests (holders' tokens for requests to come took all of a small burst), a team over its allotment got 83 of 200 (tokens were divided every 400 ms, while the burst fills in 250), and the very first request of a team was refused: the stock was created with a later reading of the clock than the request, and so counted as short. The load test counted requests that were still waiting at the end of a part as not served, and requests beyond an ideal bucket as owed. Ruled out: a larger slack instead, which the rule does not allow for many teams. Change: a report says how many requests wait; tokens ahead are limited to a part of what there is and to the holder's part of the burst; the time of a division follows from the burst; a stock gets the time of its request. A lender that does not know the directory counts all daemons as unheard. The test compares with an ideal bucket for each team instead of all that was sent, so that no team's surplus covers for another's loss.

--- a/src/teams/allotmentholder.cpp
+++ b/src/teams/allotmentholder.cpp
@@ -57,7 +57,7 @@
         return Verdict::Admitted;
     }
     const TimePoint now = clock_.now();
-    TeamStock &stock = findStock(team, allotment->second);
+    TeamStock &stock = findStock(team, allotment->second, now);
     stock.recordRequest(now);
     if (stock.take(now)) {
         return Verdict::Admitted;
@@ -167,13 +167,13 @@
     return contact.hasFailed && clock_.now() - contact.failedAt < kSilentTime;
 }
 
-TeamStock &AllotmentHolder::findStock(const TeamName &team, const Allotment &allotment)
+TeamStock &AllotmentHolder::findStock(const TeamName &team, const Allotment &allotment, TimePoint now)
 {
     const auto found = stocks_.find(team);
     if (found != stocks_.end()) {
         return found->second;
     }
-    return stocks_.try_emplace(team, allotment, random_.fraction(), clock_.now()).first->second;
+    return stocks_.try_emplace(team, allotment, random_.fraction(), now).first->second;
 }
 
 /** Gives back what is held of teams that send nothing: the next report doesn't name them. While the lender doesn't
--- a/src/teams/allotmentholder.h
+++ b/src/teams/allotmentholder.h
@@ -83,7 +83,7 @@
 
     Contact &contact(Partition partition);
     const Contact &contact(Partition partition) const;
-    TeamStock &findStock(const TeamName &team, const Allotment &allotment);
+    TeamStock &findStock(const TeamName &team, const Allotment &allotment, TimePoint now);
     bool isSilent(const Contact &contact) const;
     void dropIdle(Partition partition);
 
--- a/src/teams/allotmentledger.cpp
+++ b/src/teams/allotmentledger.cpp
@@ -105,8 +105,9 @@
 {
     const auto unheard = std::count_if(daemons_.begin(), daemons_.end(),
                                        [&](const auto &daemon) { return !lending.heard.contains(daemon.first); });
-    const auto all = static_cast<double>(std::max<std::size_t>(1, daemons_.size()));
-    return {static_cast<double>(unheard) / all, clock_.now() - lending.begunAt < AllotmentTerms::kTakeOver,
+    // As long as the daemons aren't known, none of them has been heard.
+    const double part = daemons_.empty() ? 1 : static_cast<double>(unheard) / static_cast<double>(daemons_.size());
+    return {part, clock_.now() - lending.begunAt < AllotmentTerms::kTakeOver,
             [this](const HostAddress &holder, Incarnation incarnation) {
                 const auto found = daemons_.find(holder);
                 return found != daemons_.end() && found->second == incarnation;
--- a/src/teams/allotmentmessage.h
+++ b/src/teams/allotmentmessage.h
@@ -17,7 +17,8 @@
     RequestRate demand; ///< Requests of callers in the last second or so, including refused ones.
     RequestRate usual; ///< The same over a longer time.
     double stock = 0; ///< Tokens that the holder has left.
-    double wanted = 0; ///< Further tokens that it can use until its next report.
+    double waiting = 0; ///< Requests that wait for a token.
+    double wanted = 0; ///< Further tokens that it can use until its next report, with those for waiting requests.
     double returned = 0; ///< Tokens that it gives back.
     double share = 0; ///< Fraction of the allotment that it holds, from 0 to 1.
 };
@@ -38,7 +39,7 @@
     double share = 0;
     double ownBurst = 0; ///< Requests that the holder may then run at once.
     double usedShare = 1; ///< Share of the allotment that the team uses over all daemons, from 0 to 1.
-    Millis retryAfter{}; ///< Time until the holder can expect another token.
+    Millis retryAfter{}; ///< Time until the holder can expect another token; 0 if the team has room now.
 };
 
 /** Answer to an AllotmentReport. Teams that the lender doesn't know are left out. */
--- a/src/teams/autotests/allotmentloadtest.cpp
+++ b/src/teams/autotests/allotmentloadtest.cpp
@@ -40,6 +40,29 @@
     return teams;
 }
 
+/** The allotments as one place would spend them that sees all requests. */
+class IdealBuckets
+{
+public:
+    bool take(std::size_t team, const Allotment &allotment, TimePoint now)
+    {
+        const auto [found, isNew] = buckets_.try_emplace(team, Bucket{allotment.burst, now});
+        Bucket &bucket = found->second;
+        const double seconds = (now - bucket.at).value / 1000;
+        bucket = {std::min(allotment.burst, bucket.tokens + seconds * allotment.rate.perSecond), now};
+        const bool taken = bucket.tokens >= 1;
+        bucket.tokens -= taken ? 1 : 0;
+        return taken;
+    }
+
+private:
+    struct Bucket {
+        double tokens = 0;
+        TimePoint at;
+    };
+    std::map<std::size_t, Bucket> buckets_;
+};
+
 /** Sends requests of all teams at random daemons, as many as each team's usual times its factor. */
 class Load
 {
@@ -57,6 +80,7 @@
                 std::poisson_distribution<int> arrivals(rates[team] * factor / 1000);
                 for (int i = arrivals(engine_); i > 0; --i) {
                     ++sent[team];
+                    owed[team] += ideal_.take(team, fleet_.teams[team].allotment, fleet_.clock.now()) ? 1 : 0;
                     fleet_.request(engine_() % fleet_.size(), fleet_.teams[team].name);
                 }
             }
@@ -64,8 +88,10 @@
     }
     std::map<std::size_t, double> factors;
     std::map<std::size_t, int> sent;
+    std::map<std::size_t, int> owed; ///< Of those that were sent, within the allotment.
 
 private:
+    IdealBuckets ideal_;
     AllotmentFleet &fleet_;
     std::mt19937_64 engine_{20261205};
 };
@@ -75,12 +101,15 @@
     double served = 0;
     double sent = 0;
     double worst = 1; ///< Served part of the team that gets the least.
+    std::map<std::size_t, double> balance; ///< Served requests of each team beyond those owed.
+    double owed = 0;
     double worstExcess = -1e9; ///< Of all teams.
     int unknown = 0;
 };
 
 Sums sumUp(AllotmentFleet &fleet, Load &load, std::size_t hot = kTeams)
 {
+    fleet.run(LentAllotmentGate::kLongestWait); // Until all requests are decided.
     Sums sums;
     for (std::size_t team = 0; team < kTeams; ++team) {
         const auto &tally = fleet.tallies[fleet.teams[team].name];
@@ -91,6 +120,8 @@
         const auto served = static_cast<double>(tally.admitted.size());
         sums.served += served;
         sums.sent += load.sent[team];
+        sums.owed += load.owed[team];
+        sums.balance[team] = served - load.owed[team];
         sums.worst = std::min(sums.worst, load.sent[team] > 0 ? served / load.sent[team] : 1);
         sums.unknown += tally.unknown;
     }
@@ -99,10 +130,15 @@
     return sums;
 }
 
-/** Served part of the requests that were sent between two sums. */
-double servedPart(const Sums &before, const Sums &after)
+/** Part of the requests owed between two sums that was not served, as if no team had got more than it was owed. */
+double missedPart(const Sums &before, const Sums &after)
 {
-    return (after.served - before.served) / (after.sent - before.sent);
+    double missed = 0;
+    for (const auto &[team, balance] : after.balance) {
+        const auto found = before.balance.find(team);
+        missed += std::max(0.0, (found == before.balance.end() ? 0 : found->second) - balance);
+    }
+    return missed / (after.owed - before.owed);
 }
 
 constexpr std::size_t kHotTeam = 1;
@@ -120,7 +156,7 @@
     Load load(fleet);
     load.run(Millis{10000});
     const Sums sums = sumUp(fleet, load);
-    CHECK(sums.served >= 0.999 * sums.sent);
+    CHECK(missedPart({}, sums) <= 0.001);
     CHECK(sums.worst >= 0.97);
     CHECK(sums.worstExcess <= 0);
     CHECK(sums.unknown == 0);
@@ -141,7 +177,7 @@
     const auto served = static_cast<double>(fleet.tallies[hot].admitted.size() - before);
     CHECK(served >= 0.95 * 7 * fleet.teams[kHotTeam].allotment.rate.perSecond);
     const Sums sums = sumUp(fleet, load, kHotTeam);
-    CHECK(sums.served >= 0.999 * sums.sent);
+    CHECK(missedPart({}, sums) <= 0.001);
     CHECK(sums.worstExcess <= 0);
 }
 
@@ -166,8 +202,8 @@
     const Sums healing = sumUp(fleet, load, kHotTeam);
     load.run(Millis{5000});
     const Sums healed = sumUp(fleet, load, kHotTeam);
-    CHECK(servedPart(calm, cut) >= 0.9);
-    CHECK(servedPart(healing, healed) >= 0.999);
+    CHECK(missedPart(calm, cut) <= 0.1);
+    CHECK(missedPart(healing, healed) <= 0.001);
     CHECK(healed.worstExcess <= 0);
 }
 
@@ -188,7 +224,7 @@
     const Sums restarted = sumUp(fleet, load, kHotTeam);
     load.run(Millis{4000});
     const Sums later = sumUp(fleet, load, kHotTeam);
-    CHECK(servedPart(calm, restarted) >= 0.9);
-    CHECK(servedPart(restarted, later) >= 0.999);
+    CHECK(missedPart(calm, restarted) <= 0.1);
+    CHECK(missedPart(restarted, later) <= 0.001);
     CHECK(later.worstExcess <= 0);
 }
--- a/src/teams/teamledger.cpp
+++ b/src/teams/teamledger.cpp
@@ -15,6 +15,10 @@
 constexpr Millis kForgetAfter{2000};
 /** Part of the allotment that is given out in shares; the rest is at hand for daemons that get their first requests. */
 constexpr double kSharedPart = 0.95;
+/** Part of the burst that holders keep together as tokens for requests to come. */
+constexpr double kLentBurst = 0.8;
+/** Part of the tokens there are that one holder gets for requests to come. */
+constexpr double kAheadPart = 0.3;
 /** Demand relative to the rate from which on tokens are divided; below, the burst evens it out. */
 constexpr double kOverload = 1.2;
 constexpr Millis kShortestRetry{50};
@@ -58,7 +62,8 @@
     count(loan, 1);
     bucket_ = std::min(bucket_ + demand.returned, std::max(0.0, burst() - tokensOut_ - silentBursts_));
 
-    const double tokens = grantTokens(demand, sinceLast);
+    const double usable = usableTokens(demand);
+    const double tokens = std::min(usable, grantLimit(demand, sinceLast));
     bucket_ -= tokens;
     count(loan, -1);
     const double share = grantShare(loan);
@@ -66,6 +71,9 @@
     loan.share = std::max(loan.share, share);
     count(loan, 1);
     AllotmentGrant grant = describe(loan);
+    if (tokens >= usable) {
+        grant.retryAfter = {};
+    }
     grant.team = demand.team;
     grant.tokens = tokens;
     grant.share = share;
@@ -139,17 +147,42 @@
     return {allotment_.rate.perSecond * std::clamp(1 - silentShare_ - assumedShare_, 0.0, 1.0)};
 }
 
-double TeamLedger::grantTokens(const AllotmentDemand &demand, Millis sinceLast)
+/** Tokens that the holder can use, and that don't make it keep more of the burst than its part. */
+double TeamLedger::usableTokens(const AllotmentDemand &demand) const
+{
+    const double part = demand_ > 0 ? demand.demand.perSecond / demand_ : 1;
+    double keep = std::max(1.0, kLentBurst * burst() * part - demand.stock);
+    if (!isOverloaded()) {
+        keep = std::min(keep, kAheadPart * bucket_);
+    }
+    return std::min(demand.wanted, std::max(demand.waiting, keep));
+}
+
+bool TeamLedger::isOverloaded() const
+{
+    return demand_ > lendableRate().perSecond * kOverload;
+}
+
+/** Seconds in which tokens are divided once among all holders: less than those in which the burst fills. */
+double TeamLedger::divisionTime() const
+{
+    constexpr double kFillPart = 0.5;
+    const double interval = AllotmentTerms::kReportInterval.value / kMillisPerSecond;
+    return std::min(interval, kFillPart * burst() / allotment_.rate.perSecond);
+}
+
+/** Most tokens that the holder may get now. */
+double TeamLedger::grantLimit(const AllotmentDemand &demand, Millis sinceLast) const
 {
-    const double rate = lendableRate().perSecond;
-    if (demand_ <= rate * kOverload) {
-        return std::min(demand.wanted, bucket_);
+    if (!isOverloaded()) {
+        return bucket_;
     }
     // A holder that reports more often than others gets no more than they.
-    const double due = std::min(1.0, sinceLast.value / AllotmentTerms::kReportInterval.value);
+    const double round = divisionTime();
+    const double due = std::min(1.0, sinceLast.value / kMillisPerSecond / round);
     const double part = bucket_ * due * demand.demand.perSecond / demand_;
-    const double spare = bucket_ - rate * AllotmentTerms::kReportInterval.value / kMillisPerSecond;
-    return std::min(demand.wanted, std::max(part, spare));
+    const double spare = bucket_ - lendableRate().perSecond * round;
+    return std::max(part, spare);
 }
 
 /** Share for a holder in proportion to its usual demand. @p loan is not counted. */
--- a/src/teams/teamledger.h
+++ b/src/teams/teamledger.h
@@ -86,7 +86,10 @@
     double ownBurst(double share) const;
     double burst() const;
     RequestRate lendableRate() const;
-    double grantTokens(const AllotmentDemand &demand, Millis sinceLast);
+    bool isOverloaded() const;
+    double divisionTime() const;
+    double usableTokens(const AllotmentDemand &demand) const;
+    double grantLimit(const AllotmentDemand &demand, Millis sinceLast) const;
     double grantShare(const Loan &loan) const;
     AllotmentGrant describe(const Loan &loan) const;
 
--- a/src/teams/teamstock.cpp
+++ b/src/teams/teamstock.cpp
@@ -28,6 +28,7 @@
 constexpr Millis kIdleAfter{15000};
 /** Time in contact with the lender after which what was used alone is there again. */
 constexpr Millis kOwnRefillTime{10000};
+constexpr Millis kShortestRetry{50};
 constexpr Millis kLongestRetry{10000};
 
 double seconds(Millis duration)
@@ -91,7 +92,7 @@
 {
     const double ownRate = share_ * allotment_.rate.perSecond;
     if (!isAlone(now)) {
-        return std::max(retryAfter_, shortUntil_ - now);
+        return std::max({kShortestRetry, retryAfter_, shortUntil_ - now});
     }
     return ownRate > 0 ? std::min(kLongestRetry, Millis{(1 - rounding_ - ownTokens_) * kMillisPerSecond / ownRate})
                        : kLongestRetry;
@@ -111,8 +112,9 @@
     const double most = expected < kFewestKept ? 0 : demand_ * seconds(kLongestStockTime) + 1;
     const double returned = std::max(0.0, tokens_ - most);
     tokens_ -= returned;
-    wanted_ = std::max(0.0, ahead + static_cast<double>(waiting) - tokens_);
-    return {team, RequestRate{demand_}, RequestRate{usual_}, tokens_, wanted_, returned, share_};
+    const double wanted = std::max(0.0, ahead + static_cast<double>(waiting) - tokens_);
+    return {team,  RequestRate{demand_}, RequestRate{usual_}, tokens_, static_cast<double>(waiting), wanted, returned,
+            share_};
 }
 
 void TeamStock::apply(const AllotmentGrant &grant, TimePoint sentAt, TimePoint now)
@@ -129,10 +131,7 @@
     retryAfter_ = grant.retryAfter;
     answeredAt_ = sentAt;
     isKnown_ = true;
-    shortUntil_ = now;
-    if (grant.tokens < wanted_) {
-        shortUntil_ = now + std::min(grant.retryAfter, AllotmentTerms::kReportInterval);
-    }
+    shortUntil_ = now + std::min(grant.retryAfter, AllotmentTerms::kReportInterval);
 }
 
 void TeamStock::applyUnknown()
--- a/src/teams/teamstock.h
+++ b/src/teams/teamstock.h
@@ -75,7 +75,6 @@
     double tokens_ = 0;
     double share_ = 0;
     double usedShare_ = 1;
-    double wanted_ = 0; ///< In the last report.
     double ownBurst_ = 0;
     double ownTokens_ =
         0; ///< For the time when the lender doesn't answer, in which they grow at the rate of the share.
