MeshDaemon: AllotmentService lends allotments to other daemons and borrows from them

Cause: the decisions on allotments had no messages. Ruled out: the control messages of the directory exchange, which go to random daemons and carry the whole state. Change: reports go to /allotments of the lender's peers listener, as JSON of a row a team; a lender's own daemon asks it directly. Without a limit of any team: no message, no timer, no metric. Metrics by team, log events 3401 and 3402.

--- a/src/core/logevent.cpp
+++ b/src/core/logevent.cpp
@@ -20,7 +20,7 @@
 namespace
 {
 
-constexpr std::array<LogEventInfo, 31> kEvents{{
+constexpr std::array<LogEventInfo, 33> kEvents{{
     {LogEvent::DaemonStarted, "daemon-started", Severity::Info},
     {LogEvent::DaemonDraining, "daemon-draining", Severity::Info},
     {LogEvent::DaemonStopped, "daemon-stopped", Severity::Info},
@@ -52,6 +52,8 @@
     {LogEvent::CheckInRejected, "check-in-rejected", Severity::Warning, true},
     {LogEvent::RegistrationRejected, "registration-rejected", Severity::Warning, true},
     {LogEvent::RegistrationKept, "registration-kept", Severity::Info, true},
+    {LogEvent::AllotmentLenderSilent, "allotment-lender-silent", Severity::Warning, true},
+    {LogEvent::AllotmentLenderBack, "allotment-lender-back", Severity::Info, true},
 }};
 
 std::string_view severityName(Severity severity)
--- a/src/core/logevent.h
+++ b/src/core/logevent.h
@@ -43,6 +43,8 @@
     CheckInRejected = 3301,
     RegistrationRejected = 3302,
     RegistrationKept = 3303,
+    AllotmentLenderSilent = 3401,
+    AllotmentLenderBack = 3402,
 };
 
 enum class Severity {
--- /dev/null
+++ b/src/mesh/allotmentservice.cpp
@@ -0,0 +1,229 @@
+#include "mesh/allotmentservice.h"
+
+#include "core/chronotime.h"
+#include "core/logevent.h"
+#include "mesh/allotmentcodec.h"
+
+#include <sstream>
+
+namespace Hibiscus
+{
+
+namespace
+{
+
+constexpr Millis kTick{50};
+/** Ticks from one search for silent holders to the next; reports start one as well. */
+constexpr unsigned kLedgerTicks = 4;
+constexpr Millis kConnectTimeout{100};
+constexpr Millis kResponseTimeout{240};
+constexpr int kStatusOk = 200;
+constexpr int kStatusBadRequest = 400;
+
+/** Daemons that may hold something. */
+Daemons holdersOf(const ServerDirectory &directory)
+{
+    Daemons daemons;
+    for (const auto &[name, entry] : directory.entries()) {
+        if (entry.registration.state != ServerState::Left) {
+            daemons[entry.registration.daemon] = entry.registration.incarnation;
+        }
+    }
+    return daemons;
+}
+
+/** Daemons that may lend: not those that are about to end. */
+Daemons lendersOf(const ServerDirectory &directory)
+{
+    Daemons daemons;
+    for (const auto &[name, entry] : directory.entries()) {
+        const ServerState state = entry.registration.state;
+        if (state != ServerState::Left && state != ServerState::Detached) {
+            daemons[entry.registration.daemon] = entry.registration.incarnation;
+        }
+    }
+    return daemons;
+}
+
+HttpRequest makeRequest(const Partition &partition, const AllotmentReport &report)
+{
+    HttpRequest request{"POST", AllotmentService::kTarget, {}, serializeAllotmentRequest({partition, report})};
+    request.headers.add("Content-Type", "application/json");
+    return request;
+}
+
+std::optional<AllotmentAnswer> readAnswer(const HttpResult &result)
+{
+    return result && result->status == kStatusOk ? parseAllotmentAnswer(result->body) : std::nullopt;
+}
+
+std::string teamLabel(const TeamName &team)
+{
+    std::string label;
+    for (const char c : team.value()) {
+        if (c == '"' || c == '\\') {
+            label += '\\';
+        }
+        label += c;
+    }
+    return "team=\"" + label + "\"";
+}
+
+} // namespace
+
+AllotmentService::AllotmentService(asio::io_context &context, HttpClient &client, const DaemonIdentity &self,
+                                   const Clock &clock, RandomSource &random)
+    : client_(client)
+    , self_(self)
+    , gate_(AllotmentHolder(self.peers, self.incarnation, clock, random), clock,
+            [this](Partition partition, const AllotmentReport &report, const Reply &reply) {
+                send(partition, report, reply);
+            })
+    , ledger_(self.incarnation, clock)
+    , timer_(context)
+{
+}
+
+void AllotmentService::admit(const TeamName &team, Callback callback)
+{
+    gate_.admit(team, std::move(callback));
+}
+
+void AllotmentService::giveBack(const TeamName &team)
+{
+    gate_.giveBack(team);
+}
+
+void AllotmentService::setTeams(const std::vector<Team> &teams, const ServerDirectory &directory)
+{
+    gate_.setTeams(teams);
+    ledger_.setTeams(teams);
+    setDirectory(directory);
+    if (gate_.holder().hasLimits() && !isTicking_) {
+        scheduleTick();
+    }
+}
+
+void AllotmentService::setDirectory(const ServerDirectory &directory)
+{
+    if (!gate_.holder().hasLimits()) {
+        return;
+    }
+    ledger_.setDaemons(holdersOf(directory));
+    const Daemons lenders = lendersOf(directory);
+    for (unsigned number = 0; number < kPartitions; ++number) {
+        const Partition partition(number);
+        const auto lender = lenderOf(partition, lenders);
+        std::optional<HostAddress> &known = lenders_.at(number);
+        if (lender == self_.peers && known != lender) {
+            ledger_.begin(partition);
+        }
+        known = lender;
+        isSilent_.at(number) = isSilent_.at(number) && lender != self_.peers;
+        gate_.setLender(partition, lender ? lenders.at(*lender) : Incarnation());
+    }
+}
+
+void AllotmentService::handle(HttpRequest request, HttpResponder respond)
+{
+    const auto message = parseAllotmentRequest(request.body);
+    if (!message) {
+        respond({kStatusBadRequest, {}, ""});
+        return;
+    }
+    HttpResponse response{kStatusOk, {}, serializeAllotmentAnswer(ledger_.lend(message->partition, message->report))};
+    response.headers.add("Content-Type", "application/json");
+    respond(std::move(response));
+}
+
+void AllotmentService::send(Partition partition, const AllotmentReport &report, const Reply &reply)
+{
+    const std::optional<HostAddress> &lender = lenders_.at(partition.value());
+    if (!lender) {
+        reply(std::nullopt);
+        return;
+    }
+    if (*lender == self_.peers) {
+        reply(ledger_.lend(partition, report));
+        return;
+    }
+    HttpCallOptions options;
+    options.connectTimeout = kConnectTimeout;
+    options.responseTimeout = kResponseTimeout;
+    options.start = RequestStart::AtEnd;
+    client_.send(*lender, makeRequest(partition, report), options, [this, partition, reply](const HttpResult &result) {
+        const std::optional<AllotmentAnswer> answer = readAnswer(result);
+        noteContact(partition, answer.has_value());
+        reply(answer);
+    });
+}
+
+void AllotmentService::noteContact(Partition partition, bool answered)
+{
+    bool &isSilent = isSilent_.at(partition.value());
+    if (isSilent == !answered) {
+        return;
+    }
+    isSilent = !answered;
+    const std::optional<HostAddress> &lender = lenders_.at(partition.value());
+    logEvent(answered ? LogEvent::AllotmentLenderBack : LogEvent::AllotmentLenderSilent, "",
+             {{"partition", static_cast<std::int64_t>(partition.value())}, {"lender", lender ? lender->value() : ""}});
+}
+
+void AllotmentService::scheduleTick()
+{
+    isTicking_ = true;
+    timer_.expires_after(toChrono(kTick));
+    timer_.async_wait([this](const asio::error_code &error) {
+        if (!error) {
+            tick();
+        }
+    });
+}
+
+void AllotmentService::tick()
+{
+    isTicking_ = false;
+    if (!gate_.holder().hasLimits()) {
+        return;
+    }
+    if (++ticks_ % kLedgerTicks == 0) {
+        ledger_.tick();
+    }
+    gate_.tick();
+    scheduleTick();
+}
+
+std::string AllotmentService::exposition() const
+{
+    if (!gate_.holder().hasLimits()) {
+        return {};
+    }
+    std::ostringstream out;
+    out << "# TYPE hibiscus_team_requests_total counter\n";
+    for (const auto &[team, counts] : gate_.counts()) {
+        const std::string start = "hibiscus_team_requests_total{" + teamLabel(team) + ",result=";
+        out << start << "\"admitted\"} " << counts.admitted << '\n';
+        out << start << "\"over-allotment\"} " << counts.refused << '\n';
+        out << start << "\"allotment-unknown\"} " << counts.unknown << '\n';
+    }
+    out << "# TYPE hibiscus_team_share gauge\n# TYPE hibiscus_team_used_share gauge\n";
+    for (const auto &[team, stock] : gate_.holder().stocks()) {
+        out << "hibiscus_team_share{" << teamLabel(team) << "} " << stock.share() << '\n';
+        out << "hibiscus_team_used_share{" << teamLabel(team) << "} " << stock.usedShare() << '\n';
+    }
+    out << "# TYPE hibiscus_team_lent_demand gauge\n# TYPE hibiscus_team_reserved_share gauge\n";
+    for (const auto &[team, ledger] : ledger_.teams()) {
+        out << "hibiscus_team_lent_demand{" << teamLabel(team) << "} " << ledger.demand().perSecond << '\n';
+        out << "hibiscus_team_reserved_share{" << teamLabel(team) << "} " << ledger.reservedShare() << '\n';
+    }
+    out << "# TYPE hibiscus_allotment_lender_silent gauge\n";
+    for (unsigned number = 0; number < kPartitions; ++number) {
+        const std::string lender = lenders_.at(number) ? lenders_.at(number)->value() : "";
+        out << "hibiscus_allotment_lender_silent{partition=\"" << number << "\",lender=\"" << lender << "\"} "
+            << (isSilent_.at(number) ? 1 : 0) << '\n';
+    }
+    return out.str();
+}
+
+} // namespace Hibiscus
--- a/src/mesh/meshdaemon.cpp
+++ b/src/mesh/meshdaemon.cpp
@@ -7,11 +7,13 @@
 #include "discovery/deploymentsync.h"
 #include "http/eventloop.h"
 #include "mesh/adoptedconfiguration.h"
+#include "mesh/allotmentservice.h"
 #include "mesh/checkinhandler.h"
 #include "mesh/directoryroutes.h"
 #include "mesh/drainsequence.h"
 #include "mesh/localregistration.h"
 #include "mesh/meshlisteners.h"
+#include "mesh/meshpeershandler.h"
 #include "mesh/pagehandler.h"
 #include "mesh/routedcallhandler.h"
 
@@ -74,9 +76,11 @@
     ServerHealth health;
     ServerGateway gateway;
     CallServices services;
+    AllotmentService allotments;
     RoutedCallHandler calls;
     DeploymentSync deployment;
     PeersHandler peers;
+    MeshPeersHandler meshPeers{allotments, peers};
     CheckInHandler checkIns;
     PageHandler readyPage;
     PageHandler metricsPage;
@@ -111,6 +115,7 @@
                client,
                gateway,
                [this](const ServerView &server) { deployment.markDraining(server.name, server.startedAt); }}
+    , allotments(context, client, self, clock, routingRandom)
     , calls(services, *protocols.callers, settings.service)
     , deployment(
           context.get_executor(), *protocols.store, client, clock, routingRandom,
@@ -121,6 +126,7 @@
            [this] {
                routing.with(
                    [this](RoutingTable &table) { updateRoutes(table, deployment.directory(), settings.retryBudget); });
+               allotments.setDirectory(deployment.directory());
            },
            [this](const ServerRegistration &entry) {
                if (entry.state == ServerState::Draining) {
@@ -154,7 +160,7 @@
         return HttpResponse{isReady() ? kStatusOk : kStatusUnavailable, {}, ""};
     })
     , metricsPage([this] {
-        return HttpResponse{kStatusOk, {}, tables.metrics.exposition()};
+        return HttpResponse{kStatusOk, {}, tables.metrics.exposition() + allotments.exposition()};
     })
     , drainSequence(timers, clock, settings.gracePeriod, drainSteps())
     , signals(context, SIGTERM, SIGINT)
@@ -198,6 +204,7 @@
         health.setHealthPath(profile->healthPath);
     }
     calls.setRoutes(routes);
+    allotments.setTeams(routes->configuration().teams, deployment.directory());
     configureAdmission();
     return true;
 }
@@ -322,7 +329,7 @@
     const MeshSettings &settings = d_->settings;
     const std::tuple<const char *, HostAddress, HttpHandler *> needed[] = {
         {kCallers, settings.callers, &d_->calls},        {"ready", settings.ready, &d_->readyPage},
-        {"check-in", settings.checkIns, &d_->checkIns},  {"peers", settings.peers, &d_->peers},
+        {"check-in", settings.checkIns, &d_->checkIns},  {"peers", settings.peers, &d_->meshPeers},
         {"metrics", settings.metrics, &d_->metricsPage},
     };
     for (const auto &[name, address, handler] : needed) {
