--- a/src/core/logevent.cpp
+++ b/src/core/logevent.cpp
@@ -54,6 +54,8 @@
     {LogEvent::RegistrationRejected, "registration-rejected", Severity::Warning, true},
     {LogEvent::RegistrationKept, "registration-kept", Severity::Info, true},
     {LogEvent::StoreEntryUnreadable, "store-entry-unreadable", Severity::Warning, true},
+    {LogEvent::AllotmentLenderSilent, "allotment-lender-silent", Severity::Warning, true},
+    {LogEvent::AllotmentLenderBack, "allotment-lender-back", Severity::Info, true},
 });
 
 std::string_view severityName(Severity severity)
--- a/src/core/logevent.h
+++ b/src/core/logevent.h
@@ -45,6 +45,8 @@
     RegistrationRejected = 3302,
     RegistrationKept = 3303,
     StoreEntryUnreadable = 3304,
+    AllotmentLenderSilent = 3401,
+    AllotmentLenderBack = 3402,
 };
 
 enum class Severity {
