--- a/tools/soak/childprocess.h
+++ b/tools/soak/childprocess.h
@@ -25,6 +25,12 @@
 
     void signal(int number) const;
 
+    /** Process id; -1 if the program can't be started. */
+    pid_t id() const
+    {
+        return pid_;
+    }
+
     /** Wait status in the format of waitpid(), empty while the process runs. */
     std::optional<int> status();
 
