HttpBody: the body of a request is in memory once, and fields are counted while they arrive

Cause: a body was copied into the call, into the message to another daemon and into the bytes to be sent, and once more while it grew; one of 64 MiB, which the configuration allows, has no room for a second copy on a host of 160 MB. Header fields were counted without their separators, so that fields of one byte could be sixty thousand. A trailer field of one request became a field of the next one on its connection.

Change: HttpBody shares the bytes among the request, its call, its retries and the messages; a body that has grown beyond 64 KiB (in chunks: 1 MiB) gets its memory at once. Fields count with colon and line end, which never counts more than was sent. A request's fields begin empty. An exchange that ends gives back its message: assigning {} to a string keeps its memory.

Ruled out: transparent huge pages (only on madvise here) as the reason why freed bodies stayed in memory; /proc/PID/smaps showed mapped bodies of connections that were already refused, kept by move assignment from an empty string.

--- a/src/daemon/callhandler.cpp
+++ b/src/daemon/callhandler.cpp
@@ -98,7 +98,7 @@
     call.path = target->path;
     call.headers = endToEndHeaders(request.headers);
     call.body = request.body;
-    call.signature = requestSignature(call.service, call.method, call.path, call.body);
+    call.signature = requestSignature(call.service, call.method, call.path, call.body.text());
     return call;
 }
 
--- a/src/daemon/callmessage.cpp
+++ b/src/daemon/callmessage.cpp
@@ -198,7 +198,7 @@
     call.attemptBudget = *attemptBudget;
     call.headers = endToEndHeaders(headers);
     call.body = std::move(request.body);
-    call.signature = requestSignature(call.service, call.method, call.path, call.body);
+    call.signature = requestSignature(call.service, call.method, call.path, call.body.text());
     return message;
 }
 
--- a/src/daemon/callrequest.h
+++ b/src/daemon/callrequest.h
@@ -37,7 +37,7 @@
     std::string path; ///< Target below /svc/<service>, or of the route's request, with its leading slash.
     std::string host; ///< Host field for the backend server; empty for its address.
     HttpHeaders headers; ///< End-to-end fields, without the fields of hibiscusdale.
-    std::string body;
+    HttpBody body;
 
     RootContext root;
     std::string requestId; ///< Id that the caller gave to this send; empty if it gave none.
--- a/src/http/autotests/httpclienttest.cpp
+++ b/src/http/autotests/httpclienttest.cpp
@@ -83,7 +83,7 @@
     {
         HttpResponse response;
         response.status = 207;
-        response.body = request.method + " " + request.target + " " + request.body;
+        response.body = request.method + " " + request.target + " " + request.body.text();
         response.headers.add("X-Tag", std::string(request.headers.find("x-tag").value_or("none")));
         respond(std::move(response));
     }
--- a/src/http/autotests/requestparsertest.cpp
+++ b/src/http/autotests/requestparsertest.cpp
@@ -114,3 +114,24 @@
         CHECK(parsed.requests.size() <= 3);
     }
 }
+
+TEST_CASE("RequestParser: the separators of very many short fields count")
+{
+    // Guards against fields of a few bytes, which take many times as much memory once they are parsed.
+    const RequestLimits limits{200, 10};
+    std::string fields = "GET / HTTP/1.1\r\n";
+    for (int i = 0; i < 66; ++i) {
+        fields += "a:\r\n";
+    }
+    CHECK(parseAll(fields + "\r\n", 64, limits).errorStatus == 0);
+    CHECK(parseAll(fields + "a:\r\na:\r\n\r\n", 64, limits).errorStatus == 431);
+}
+
+TEST_CASE("RequestParser: a trailer field is not a field of the next request")
+{
+    const std::string chunked =
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Late: 1\r\n\r\n";
+    const ParseResult parsed = parseAll(chunked + "GET / HTTP/1.1\r\nHost: h\r\n\r\n", 64);
+    REQUIRE(parsed.requests.size() == 2);
+    CHECK_FALSE(parsed.requests[1].headers.find("X-Late").has_value());
+}
--- a/src/http/httpexchange.cpp
+++ b/src/http/httpexchange.cpp
@@ -2,6 +2,7 @@
 
 #include "core/chronotime.h"
 #include "http/endpoint.h"
+#include "http/requestwriter.h"
 
 #include <algorithm>
 #include <array>
@@ -40,21 +41,6 @@
 constexpr int kStatusOk = 200;
 constexpr int kFirstFailureStatus = 300;
 
-std::string serializeHead(const HostAddress &address, const HttpRequest &request)
-{
-    std::string text;
-    text.reserve(512 + request.body.size());
-    text.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\nHost: ");
-    text.append(request.host.empty() ? address.value() : request.host).append("\r\n");
-    for (const HttpHeaders::Field &field : request.headers.fields()) {
-        if (!isHopByHopHeader(field.first)) {
-            text.append(field.first).append(": ").append(field.second).append("\r\n");
-        }
-    }
-    text.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n\r\n");
-    return text;
-}
-
 void setTcpUserTimeout(ConnectionPool::Socket &socket, int millis)
 {
     ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, sizeof(millis));
@@ -85,11 +71,11 @@
     , strand_(asio::make_strand(pool_->context()))
     , socket_(strand_)
     , timer_(strand_)
-    , message_(serializeHead(address_, request))
-    , progress_(message_.size(), message_.size() + request.body.size(), options_.start)
+    , head_(serializeRequestHead(address_, request))
+    , body_(request.body)
+    , progress_(head_.size(), head_.size() + request.body.size(), options_.start)
     , parser_(std::make_unique<ResponseParser>(options.maximumBodyBytes))
 {
-    message_.append(request.body);
     if (!options_.echoedField.empty()) {
         echoedValue_ = request.headers.find(options_.echoedField).value_or("");
     }
@@ -160,7 +146,7 @@
 {
     connected_ = true;
     armTimer(options_.responseTimeout);
-    if (options_.start == RequestStart::AtHead && message_.size() > kSmallMessageBytes) {
+    if (options_.start == RequestStart::AtHead && messageBytes() > kSmallMessageBytes) {
         setTcpUserTimeout(socket_, kNoTcpUserTimeout);
     }
     writeSome();
@@ -176,7 +162,7 @@
         return;
     }
     asio::error_code error;
-    const std::size_t size = socket_.write_some(asio::buffer(message_) + progress_.written(), error);
+    const std::size_t size = socket_.write_some(unwritten(), error);
     progress_.endWrite(error ? 0 : size);
     if (error && error != asio::error::would_block) {
         // A response that came before the failure can still be read; if there is none, reading fails as well.
@@ -200,6 +186,18 @@
                        }));
 }
 
+std::size_t HttpExchange::messageBytes() const
+{
+    return head_.size() + body_.size();
+}
+
+/** The part of the message that has not been handed over yet. */
+std::array<asio::const_buffer, 2> HttpExchange::unwritten() const
+{
+    const std::size_t ofHead = std::min(progress_.written(), head_.size());
+    return {asio::buffer(head_) + ofHead, asio::buffer(body_.text()) + (progress_.written() - ofHead)};
+}
+
 void HttpExchange::read()
 {
     socket_.async_wait(ConnectionPool::Socket::wait_read,
@@ -303,7 +301,7 @@
 /** Whether the peer's host has received the whole request, so that nothing of it is in front of the next one. */
 bool HttpExchange::isReceived()
 {
-    if (!progress_.isComplete() || message_.size() <= kSmallMessageBytes) {
+    if (!progress_.isComplete() || messageBytes() <= kSmallMessageBytes) {
         return progress_.isComplete();
     }
     int unacknowledged = 0;
@@ -403,7 +401,8 @@
     timer_.cancel();
     asio::error_code ignored;
     socket_.close(ignored);
-    message_ = {};
+    std::string().swap(head_);
+    body_ = {};
 }
 
 } // namespace Hibiscus
--- a/src/http/httpexchange.h
+++ b/src/http/httpexchange.h
@@ -6,11 +6,13 @@
 #include "http/responseparser.h"
 #include "http/sendprogress.h"
 
+#include <array>
 #include <memory>
 #include <string>
 #include <string_view>
 
 #include <asio/bind_executor.hpp>
+#include <asio/buffer.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/strand.hpp>
 
@@ -50,6 +52,8 @@
     void receiveOther(const HttpResponse &response, std::string_view trailing);
     bool isForOtherRequest(const HttpResponse &response) const;
     bool isReceived();
+    std::size_t messageBytes() const;
+    std::array<asio::const_buffer, 2> unwritten() const;
     void finishUpload();
     void discard(std::string_view bytes);
     void onReadEnd();
@@ -80,7 +84,8 @@
     asio::strand<asio::io_context::executor_type> strand_;
     ConnectionPool::Socket socket_;
     asio::steady_timer timer_;
-    std::string message_;
+    std::string head_;
+    HttpBody body_;
     SendProgress progress_;
     std::unique_ptr<ResponseParser> parser_;
     std::string echoedValue_; ///< Value of HttpCallOptions::echoedField in the request.
--- a/src/http/httpmessage.cpp
+++ b/src/http/httpmessage.cpp
@@ -74,4 +74,13 @@
     return std::nullopt;
 }
 
+std::size_t HttpHeaders::heldBytes() const
+{
+    std::size_t bytes = fields_.capacity() * sizeof(Field);
+    for (const Field &field : fields_) {
+        bytes += field.first.size() + field.second.size();
+    }
+    return bytes;
+}
+
 } // namespace Hibiscus
--- a/src/http/httpmessage.h
+++ b/src/http/httpmessage.h
@@ -1,6 +1,8 @@
 #ifndef HIBISCUS_HTTP_HTTPMESSAGE_H
 #define HIBISCUS_HTTP_HTTPMESSAGE_H
 
+#include "http/httpbody.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -23,6 +25,8 @@
     void remove(std::string_view name);
     /** Value of the first field of that name. */
     std::optional<std::string_view> find(std::string_view name) const;
+    /** Memory that the fields take, in bytes. */
+    std::size_t heldBytes() const;
     const std::vector<Field> &fields() const
     {
         return fields_;
@@ -36,7 +40,7 @@
     std::string method;
     std::string target;
     HttpHeaders headers;
-    std::string body;
+    HttpBody body;
     std::uint64_t connection = 0; ///< Id of the connection that received the request, unique within its HttpServer.
     std::string host{}; ///< Host header field; if it is empty, a client sends the address of the server.
 };
--- a/src/http/requestparser.cpp
+++ b/src/http/requestparser.cpp
@@ -12,6 +12,13 @@
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusTooLarge = 413;
 constexpr int kStatusFieldsTooLarge = 431;
+/** Fewest bytes of a field in the message besides its name and its value: a colon and the end of the line. */
+constexpr std::size_t kFieldSeparatorBytes = 2;
+/** Memory of a parsed field besides its text, with the growth of the list. */
+constexpr std::size_t kFieldBytes = sizeof(HttpHeaders::Field) * 3 / 2;
+/** From these sizes on a body gets all its memory at once, so that it isn't copied while it grows. */
+constexpr std::size_t kLargeDeclaredBytes = 64U << 10U;
+constexpr std::size_t kLargeChunkedBytes = 1U << 20U;
 
 RequestParser *self(http_parser *parser)
 {
@@ -67,7 +74,7 @@
 bool RequestParser::expectsContinue() const
 {
     return inMessage_ && inBody_ && sameHeaderName(request_.headers.find("Expect").value_or(""), "100-continue")
-        && request_.body.empty();
+        && body_.empty();
 }
 
 bool RequestParser::keepAlive() const
@@ -83,9 +90,28 @@
 HttpRequest RequestParser::extractRequest()
 {
     complete_ = false;
+    request_.body = std::exchange(body_, {});
     return std::exchange(request_, {});
 }
 
+std::size_t RequestParser::heldBytes() const
+{
+    if (!inMessage_) {
+        return 0;
+    }
+    return headerBytes_ + request_.headers.fields().size() * kFieldBytes + body_.size();
+}
+
+void RequestParser::discard()
+{
+    request_ = {};
+    std::string().swap(body_);
+    std::string().swap(fieldName_);
+    std::string().swap(fieldValue_);
+    inMessage_ = false;
+    inBody_ = false;
+}
+
 void RequestParser::setLimits(RequestLimits limits)
 {
     limits_ = limits;
@@ -97,16 +123,28 @@
     return headerBytes_ <= limits_.headerBytes;
 }
 
-void RequestParser::flushHeader()
+/** Ends a field; false if the fields exceed their limit. */
+bool RequestParser::flushHeader()
 {
     if (!inValue_) {
-        return;
+        return true;
     }
     if (sameHeaderName(fieldName_, "host")) {
         request_.host = fieldValue_;
     }
     request_.headers.add(std::exchange(fieldName_, {}), std::exchange(fieldValue_, {}));
     inValue_ = false;
+    return countHeaderBytes(kFieldSeparatorBytes);
+}
+
+/** Gives a large body the memory for its whole size. Until then it holds no more than was received. */
+void RequestParser::reserveBody()
+{
+    const bool isDeclared = declaredBodyBytes_ > 0;
+    const std::size_t wanted = isDeclared ? declaredBodyBytes_ : limits_.bodyBytes;
+    if (body_.size() >= (isDeclared ? kLargeDeclaredBytes : kLargeChunkedBytes) && body_.capacity() < wanted) {
+        body_.reserve(wanted);
+    }
 }
 
 int RequestParser::fail(int status)
@@ -120,6 +158,11 @@
 {
     RequestParser *that = self(parser);
     that->request_ = {};
+    that->body_.clear();
+    // A trailer field of the message before is not a field of this one.
+    that->fieldName_.clear();
+    that->fieldValue_.clear();
+    that->inValue_ = false;
     that->headerBytes_ = 0;
     that->inMessage_ = true;
     that->inBody_ = false;
@@ -134,7 +177,9 @@
 
 int RequestParser::onHeaderField(http_parser *parser, const char *data, std::size_t size)
 {
-    self(parser)->flushHeader();
+    if (!self(parser)->flushHeader()) {
+        return self(parser)->fail(kStatusFieldsTooLarge);
+    }
     self(parser)->fieldName_.append(data, size);
     return self(parser)->countHeaderBytes(size) ? 0 : self(parser)->fail(kStatusFieldsTooLarge);
 }
@@ -153,8 +198,11 @@
 int RequestParser::onHeadersComplete(http_parser *parser)
 {
     RequestParser *that = self(parser);
-    that->flushHeader();
+    if (!that->flushHeader()) {
+        return that->fail(kStatusFieldsTooLarge);
+    }
     that->inBody_ = true;
+    that->declaredBodyBytes_ = parser->content_length == ULLONG_MAX ? 0 : parser->content_length;
     that->request_.method = http_method_str(static_cast<http_method>(parser->method));
     const bool isTooLarge = parser->content_length != ULLONG_MAX && parser->content_length > that->limits_.bodyBytes;
     return isTooLarge ? that->fail(kStatusTooLarge) : 0;
@@ -163,10 +211,11 @@
 int RequestParser::onBody(http_parser *parser, const char *data, std::size_t size)
 {
     RequestParser *that = self(parser);
-    if (that->request_.body.size() + size > that->limits_.bodyBytes) {
+    if (that->body_.size() + size > that->limits_.bodyBytes) {
         return that->fail(kStatusTooLarge);
     }
-    that->request_.body.append(data, size);
+    that->reserveBody();
+    that->body_.append(data, size);
     return 0;
 }
 
--- a/src/http/requestparser.h
+++ b/src/http/requestparser.h
@@ -47,6 +47,10 @@
     /** HTTP status of the response to a malformed request. */
     int errorStatus() const;
     HttpRequest extractRequest();
+    /** Memory that the current request holds, in bytes. */
+    std::size_t heldBytes() const;
+    /** Gives up the current request. The connection can't be used any more. */
+    void discard();
 
     void setLimits(RequestLimits limits);
 
@@ -60,16 +64,19 @@
     static int onMessageComplete(http_parser *parser);
 
     bool countHeaderBytes(std::size_t size);
-    void flushHeader();
+    bool flushHeader();
+    void reserveBody();
     int fail(int status);
 
     http_parser parser_{};
     http_parser_settings callbacks_{};
     RequestLimits limits_;
     HttpRequest request_;
+    std::string body_; ///< Of request_, until it is complete.
     std::string fieldName_;
     std::string fieldValue_;
     std::size_t headerBytes_ = 0;
+    std::size_t declaredBodyBytes_ = 0; ///< 0 if the body comes in chunks.
     bool inValue_ = false;
     bool inMessage_ = false;
     bool inBody_ = false;
--- /dev/null
+++ b/src/http/requestwriter.h
@@ -0,0 +1,17 @@
+#ifndef HIBISCUS_HTTP_REQUESTWRITER_H
+#define HIBISCUS_HTTP_REQUESTWRITER_H
+
+#include "core/ids.h"
+#include "http/httpmessage.h"
+
+#include <string>
+
+namespace Hibiscus
+{
+
+/** Request line and header fields of @p request in the form in which they are sent to @p address, up to the body. */
+std::string serializeRequestHead(const HostAddress &address, const HttpRequest &request);
+
+} // namespace Hibiscus
+
+#endif
--- a/src/mesh/routedcallhandler.cpp
+++ b/src/mesh/routedcallhandler.cpp
@@ -126,7 +126,7 @@
     call.route = route.name;
     call.attemptBudget = kAttemptsPerUserAction;
     call.routeSettings = RouteSettings{route.attempts, route.latencyTarget};
-    call.signature = requestSignature(call.service, call.method, call.path, call.body);
+    call.signature = requestSignature(call.service, call.method, call.path, call.body.text());
     return call;
 }
 
