ClientBudget: one owner of what the clients of a daemon hold, and the crowds hold

Cause: each connection had limits of its own, all of them together had none. Responses that nobody read were queued without end, connections could take all descriptors, the limits of the configuration in force were not used (a body of 64 MiB got 413), and JSON of a few MB at the peers and check-in listeners was parsed at many times its size.

Change: ClientBudget (policy without I/O) owns received, handled, queued and unread bytes and the connections of all listeners; ConnectionAccount draws on it for each connection. At a bound the client that holds most for longest without progress is refused (503 if its only request is not complete) or closed; one that makes progress only if there is no other. Callers leave a part of both bounds to probes, check-ins and peers. A connection is read no further while more than 64 KiB of its responses are unread; a partial write counts as activity. Limits of the configuration apply as it changes. Control messages have 512 KiB at most, reports 64 KiB. Memory of large bodies goes back to the system when it is freed.

--- a/src/apps/hibiscusd/main.cpp
+++ b/src/apps/hibiscusd/main.cpp
@@ -13,6 +13,7 @@
 #include <thread>
 
 #include <CLI/CLI.hpp>
+#include <malloc.h>
 
 namespace
 {
@@ -25,6 +26,10 @@
 /** Time for which the process stays after its last request, so that outcome queries find its stored responses. */
 constexpr std::chrono::milliseconds kOutcomeLinger{5000};
 
+/** From this size on, memory that is freed goes back to the system at once. Without a fixed threshold the allocator
+ * raises it with the size of the bodies, and holes in its heap keep the process at a multiple of what it holds. */
+constexpr int kMappedBytes = 256 * 1024;
+
 volatile std::sig_atomic_t stopSignals = 0;
 
 void countStopSignal(int /*signal*/)
@@ -65,6 +70,7 @@
         std::cout << path << ": ok\n";
         return kExitOk;
     }
+    ::mallopt(M_MMAP_THRESHOLD, kMappedBytes);
     Hibiscus::startLogging(program, {});
     Hibiscus::MeshDaemon daemon(*settings, Hibiscus::makePlatformProtocols(*settings));
     if (const auto started = daemon.start(); !started) {
--- a/src/core/logevent.cpp
+++ b/src/core/logevent.cpp
@@ -20,7 +20,7 @@
 namespace
 {
 
-constexpr std::array<LogEventInfo, 31> kEvents{{
+constexpr std::array<LogEventInfo, 32> kEvents{{
     {LogEvent::DaemonStarted, "daemon-started", Severity::Info},
     {LogEvent::DaemonDraining, "daemon-draining", Severity::Info},
     {LogEvent::DaemonStopped, "daemon-stopped", Severity::Info},
@@ -52,6 +52,7 @@
     {LogEvent::CheckInRejected, "check-in-rejected", Severity::Warning, true},
     {LogEvent::RegistrationRejected, "registration-rejected", Severity::Warning, true},
     {LogEvent::RegistrationKept, "registration-kept", Severity::Info, true},
+    {LogEvent::ClientCutOff, "client-cut-off", Severity::Warning, true},
 }};
 
 std::string_view severityName(Severity severity)
--- a/src/core/logevent.h
+++ b/src/core/logevent.h
@@ -43,6 +43,7 @@
     CheckInRejected = 3301,
     RegistrationRejected = 3302,
     RegistrationKept = 3303,
+    ClientCutOff = 3401,
 };
 
 enum class Severity {
--- a/src/daemon/peershandler.cpp
+++ b/src/daemon/peershandler.cpp
@@ -11,6 +11,9 @@
 constexpr std::string_view kAttemptsPrefix = "/attempts/";
 constexpr int kStatusOk = 200;
 constexpr int kStatusRunning = 202;
+constexpr int kStatusTooLarge = 413;
+/** Longest control message. Its values take many times as much memory once they are parsed. */
+constexpr std::size_t kMaximumControlBytes = 512U << 10U;
 
 HttpResponse refusal(ErrorKind kind)
 {
@@ -54,7 +57,11 @@
 void PeersHandler::handle(HttpRequest request, HttpResponder respond)
 {
     if (request.target == "/control") {
-        control_(std::move(request.body), [respond = std::move(respond)](std::string body) {
+        if (request.body.size() > kMaximumControlBytes) {
+            respond({kStatusTooLarge, {}, ""});
+            return;
+        }
+        control_(request.body, [respond = std::move(respond)](std::string body) {
             HttpResponse response{kStatusOk, {}, std::move(body)};
             response.headers.add("Content-Type", "application/json");
             respond(std::move(response));
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -36,7 +36,9 @@
         , connectionSettings{{settings.maximumHeaderBytes, settings.maximumBodyBytes},
                              settings.idleTimeout,
                              settings.headerTimeout,
-                             settings.requestTimeout}
+                             settings.requestTimeout,
+                             settings.budget,
+                             settings.share}
         , handler(requestHandler)
         , acceptor(ioContext)
         , timeoutCheckTimer(ioContext)
@@ -106,7 +108,7 @@
     std::shared_ptr<ServerConnection> connection;
     {
         const std::lock_guard lock(mutex);
-        if (connections.size() >= settings.maximumConnections) {
+        if (settings.budget == nullptr && connections.size() >= settings.maximumConnections) {
             return;
         }
         const std::uint64_t id = ++lastId;
@@ -190,6 +192,19 @@
     return bound;
 }
 
+void HttpServer::setLimits(const HttpServerLimits &limits)
+{
+    ServerConnectionSettings &shared = d_->connectionSettings;
+    shared.limits = {limits.headerBytes, limits.bodyBytes};
+    shared.headerTimeout = limits.headerTimeout;
+    shared.idleTimeout = limits.idleTimeout;
+}
+
+ClientShare HttpServer::share() const
+{
+    return d_->settings.share;
+}
+
 void HttpServer::close()
 {
     asio::post(d_->context, [d = d_] {
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -3,6 +3,7 @@
 
 #include "core/ids.h"
 #include "core/millis.h"
+#include "http/clientbudget.h"
 #include "http/httphandler.h"
 
 #include <cstddef>
@@ -19,10 +20,20 @@
     HostAddress address; ///< Port 0 lets the system choose a free port.
     std::size_t maximumBodyBytes = 16U << 20U;
     std::size_t maximumHeaderBytes = 64U << 10U;
-    std::size_t maximumConnections = 4096;
+    std::size_t maximumConnections = 4096; ///< Without a budget.
     Millis idleTimeout{60000}; ///< A connection without traffic for this long is closed.
     Millis headerTimeout{10000}; ///< Limit for receiving the header fields of a request, from its first byte.
     Millis requestTimeout{120000}; ///< A request without a response for this long has its connection closed.
+    ClientBudget *budget = nullptr; ///< Bounds what the connections hold together; must outlive the server.
+    ClientShare share = ClientShare::Callers;
+};
+
+/** The part of the settings that may change while the server is open. */
+struct HttpServerLimits {
+    std::size_t headerBytes;
+    std::size_t bodyBytes;
+    Millis headerTimeout;
+    Millis idleTimeout;
 };
 
 /** HTTP/1.1 server on a shared io_context. Passes complete requests to a handler. */
@@ -36,6 +47,9 @@
 
     /** Binds and starts accepting connections. Returns the bound address, or the system's error message. */
     tl::expected<HostAddress, std::string> open();
+    /** Sets the limits for requests that begin from now on. To be called on the thread of the connections. */
+    void setLimits(const HttpServerLimits &limits);
+    ClientShare share() const;
     /** Stops accepting connections. Open ones end with their idle timeout or with the process. */
     void close();
     /** Closes connections without a request in progress, now or after their last response. */
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -2,14 +2,13 @@
 
 #include "core/chronotime.h"
 #include "core/messageguard.h"
+#include "http/responsewriter.h"
 
 #include <array>
 #include <utility>
 
-#include <asio/bind_executor.hpp>
 #include <asio/buffer.hpp>
 #include <asio/dispatch.hpp>
-#include <asio/write.hpp>
 
 namespace Hibiscus
 {
@@ -25,56 +24,9 @@
  * the client could lose the response. */
 constexpr Millis kLingerTimeout{1000};
 constexpr const char *kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-constexpr int kStatusNoContent = 204;
-constexpr int kStatusNotModified = 304;
-
-std::string_view reasonPhrase(int status)
-{
-    static constexpr std::array<std::pair<int, std::string_view>, 14> kReasonPhrases{{
-        {200, "OK"},
-        {201, "Created"},
-        {204, "No Content"},
-        {400, "Bad Request"},
-        {404, "Not Found"},
-        {408, "Request Timeout"},
-        {413, "Content Too Large"},
-        {421, "Misdirected Request"},
-        {429, "Too Many Requests"},
-        {431, "Request Header Fields Too Large"},
-        {500, "Internal Server Error"},
-        {502, "Bad Gateway"},
-        {503, "Service Unavailable"},
-        {504, "Gateway Timeout"},
-    }};
-    for (const auto &[known, reason] : kReasonPhrases) {
-        if (known == status) {
-            return reason;
-        }
-    }
-    return "Status";
-}
-
-void appendResponse(std::string &output, const HttpResponse &response, bool keepAlive)
-{
-    output.append("HTTP/1.1 ").append(std::to_string(response.status)).append(" ");
-    output.append(reasonPhrase(response.status)).append("\r\n");
-    for (const HttpHeaders::Field &field : response.headers.fields()) {
-        if (!isHopByHopHeader(field.first)) {
-            output.append(field.first).append(": ").append(field.second).append("\r\n");
-        }
-    }
-    if (!keepAlive) {
-        output.append("Connection: close\r\n");
-    }
-    const bool hasBody = response.status != kStatusNoContent && response.status != kStatusNotModified;
-    if (hasBody) {
-        output.append("Content-Length: ").append(std::to_string(response.body.size())).append("\r\n");
-    }
-    output.append("\r\n");
-    if (hasBody) {
-        output.append(response.body);
-    }
-}
+constexpr int kStatusUnavailable = 503;
+/** Response bytes that a client may leave unread before no more requests of it are read. */
+constexpr std::size_t kMaximumUnreadBytes = 65536;
 
 } // namespace
 
@@ -87,6 +39,7 @@
     , clock_(clock)
     , onClosed_(std::move(onClosed))
     , parser_(settings.limits)
+    , account_(settings.budget, settings.share)
     , lastActivity_(clock.now())
     , messageStarted_(lastActivity_)
 {
@@ -107,7 +60,7 @@
     asio::error_code error;
     socket_.non_blocking(true, error);
     socket_.set_option(asio::ip::tcp::no_delay(true), error);
-    post([](ServerConnection &self) { self.waitForInput(); });
+    post([](ServerConnection &self) { self.account_.open(self) ? self.waitForInput() : self.close(); });
 }
 
 void ServerConnection::closeWhenIdle()
@@ -123,33 +76,44 @@
 void ServerConnection::checkTimeouts()
 {
     post([](ServerConnection &self) {
-        const TimePoint now = self.clock_.now();
-        if (self.lingering_) {
-            if (now - self.lastActivity_ > kLingerTimeout) {
-                self.close();
-            }
-            return;
-        }
-        if (!self.pendingRequests_.empty()) {
-            const bool isStuck = now - self.pendingRequests_.front()->received > self.settings_.requestTimeout
-                || (!self.writing_.empty() && now - self.lastActivity_ > self.settings_.idleTimeout);
-            if (isStuck) {
-                self.close();
-            }
-            return;
-        }
-        const bool isSlow = self.parser_.isInMessage() && now - self.messageStarted_ > self.settings_.headerTimeout
-            && !self.parser_.isInBody();
-        if (isSlow || now - self.lastActivity_ > self.settings_.idleTimeout) {
-            self.close();
+        const std::optional<ClientEnd> end = self.exceededTimeout(self.clock_.now());
+        if (end && !(self.reading_ && self.hasInput())) {
+            self.close(*end);
         }
     });
 }
 
+/** Whether the client has sent what has not been read yet, as after a pause of this process. */
+bool ServerConnection::hasInput() const
+{
+    asio::error_code ignored;
+    return socket_.available(ignored) > 0;
+}
+
+std::optional<ClientEnd> ServerConnection::exceededTimeout(TimePoint now) const
+{
+    using Exceeded = std::optional<ClientEnd>;
+    const Millis quiet = now - lastActivity_;
+    if (lingering_) {
+        const bool isLong = quiet > kLingerTimeout || now - lingerStarted_ > settings_.idleTimeout;
+        return isLong ? Exceeded(ClientEnd::Closed) : std::nullopt;
+    }
+    if (!pendingRequests_.empty()) {
+        const bool isStuck = now - pendingRequests_.front()->received > settings_.requestTimeout
+            || (!writing_.empty() && quiet > settings_.idleTimeout);
+        return isStuck ? Exceeded(ClientEnd::RequestTimeout) : std::nullopt;
+    }
+    if (parser_.isInMessage() && !parser_.isInBody() && now - messageStarted_ > settings_.headerTimeout) {
+        return ClientEnd::HeaderTimeout;
+    }
+    return quiet > settings_.idleTimeout ? Exceeded(ClientEnd::IdleTimeout) : std::nullopt;
+}
+
 void ServerConnection::detach()
 {
     handler_ = nullptr;
     onClosed_ = nullptr;
+    account_.detach();
     closed_ = true;
     asio::error_code ignored;
     socket_.close(ignored);
@@ -164,14 +128,9 @@
     // Waits before it reads, so that idle connections need no buffer of their own.
     socket_.async_wait(Socket::wait_read, [self = shared_from_this()](const asio::error_code &error) {
         self->reading_ = false;
-        if (self->closed_) {
-            return;
-        }
-        if (error) {
-            self->close();
-            return;
+        if (!self->closed_) {
+            error ? self->close() : self->readInput();
         }
-        self->readInput();
     });
 }
 
@@ -181,45 +140,44 @@
     static thread_local std::array<char, kReadBufferBytes> buffer;
     asio::error_code error;
     const std::size_t size = socket_.read_some(asio::buffer(buffer), error);
-    if (error == asio::error::would_block) {
-        waitForInput();
-        return;
-    }
-    if (error) {
+    if (error && error != asio::error::would_block) {
         close();
         return;
     }
-    lastActivity_ = clock_.now();
-    if (closing_ || lingering_) {
+    lastActivity_ = error ? lastActivity_ : clock_.now();
+    if (error || closing_) {
         // Requests after the last response are discarded; the client resends them on another connection.
         waitForInput();
         return;
     }
     if (input_.empty() && !parser_.isInMessage()) {
         messageStarted_ = lastActivity_;
+        parser_.setLimits(settings_.limits);
     }
+    account_.recordProgress(size);
     input_.append(buffer.data(), size);
     parseInput();
 }
 
 void ServerConnection::parseInput()
 {
+    if (parsing_) {
+        return; // The loop below goes on by itself after a response that comes at once.
+    }
+    parsing_ = true;
     std::size_t offset = 0;
-    while (!closing_ && !closed_ && offset < input_.size() && pendingRequests_.size() < kMaximumPipelinedRequests) {
+    while (!closing_ && !closed_ && offset < input_.size() && !isPaused()) {
         std::size_t used = 0;
         const RequestParser::State state = parser_.feed(std::string_view(input_).substr(offset), used);
         offset += used;
         if (state == RequestParser::State::Malformed) {
-            rejectMalformedRequest();
-            break;
+            reject(parser_.errorStatus());
         }
-        if (state == RequestParser::State::Incomplete) {
-            break;
-        }
-        if (!dispatchRequest()) {
+        if (state != RequestParser::State::Complete || !dispatchRequest()) {
             break;
         }
     }
+    parsing_ = false;
     if (closed_) {
         return;
     }
@@ -232,20 +190,37 @@
         output_.append(kContinue);
         write();
     }
-    if (pendingRequests_.size() < kMaximumPipelinedRequests) {
+    updateAccount();
+    paused_ = !closing_ && isPaused();
+    if (!paused_) {
         waitForInput();
     }
 }
 
+/** Whether no more of the client's requests are read for now. */
+bool ServerConnection::isPaused() const
+{
+    return pendingRequests_.size() >= kMaximumPipelinedRequests
+        || output_.size() + writing_.size() > kMaximumUnreadBytes;
+}
+
+void ServerConnection::resume()
+{
+    if (paused_ && !closed_ && !closing_ && !isPaused()) {
+        parseInput();
+    }
+}
+
 bool ServerConnection::dispatchRequest()
 {
     HttpRequest request = parser_.extractRequest();
     request.connection = id_;
+    parser_.setLimits(settings_.limits);
     continueSent_ = false;
     messageStarted_ = lastActivity_;
-    const auto pending = std::make_shared<PendingRequest>();
-    pending->keepAlive = parser_.keepAlive();
-    pending->received = lastActivity_;
+    const std::size_t heldBytes = request.body.size() + request.headers.heldBytes();
+    const auto pending = std::make_shared<PendingRequest>(parser_.keepAlive(), lastActivity_, heldBytes);
+    account_.addRequest(pending->requestBytes);
     pendingRequests_.push_back(pending);
     if (!pending->keepAlive) {
         closing_ = true;
@@ -270,24 +245,25 @@
 
 void ServerConnection::setResponse(const std::shared_ptr<PendingRequest> &pending, HttpResponse response)
 {
-    pending->response = std::move(response);
+    pending->setResponse(std::move(response));
+    account_.addResponse(pending->requestBytes, pending->responseBytes);
     writeReadyResponses();
 }
 
-void ServerConnection::rejectMalformedRequest()
+/** Responds with @p status to a request that is not complete, and reads no more. */
+void ServerConnection::reject(int status)
 {
     closing_ = true;
-    const auto pending = std::make_shared<PendingRequest>();
-    pending->keepAlive = false;
-    pending->received = lastActivity_;
-    pending->response = HttpResponse{parser_.errorStatus(), {}, ""};
+    std::string().swap(input_);
+    parser_.discard();
+    const auto pending = std::make_shared<PendingRequest>(false, lastActivity_, 0);
+    pending->response = HttpResponse{status, {}, ""};
     pendingRequests_.push_back(pending);
     writeReadyResponses();
 }
 
 void ServerConnection::writeReadyResponses()
 {
-    const bool wasFull = pendingRequests_.size() >= kMaximumPipelinedRequests;
     while (!pendingRequests_.empty() && pendingRequests_.front()->response) {
         const std::shared_ptr<PendingRequest> pending = pendingRequests_.front();
         pendingRequests_.pop_front();
@@ -295,12 +271,12 @@
         const bool wantsClose = !pending->keepAlive || pending->response->closesConnection || closeWhenIdle_;
         const bool isLast = wantsClose && pendingRequests_.empty() && !parser_.isInMessage();
         closing_ = closing_ || isLast;
+        account_.removeResponse(pending->responseBytes);
         appendResponse(output_, *pending->response, !isLast);
     }
     write();
-    if (wasFull && !closed_ && !closing_ && pendingRequests_.size() < kMaximumPipelinedRequests) {
-        parseInput();
-    }
+    updateAccount();
+    resume();
 }
 
 void ServerConnection::write()
@@ -309,33 +285,36 @@
         return;
     }
     writing_ = std::exchange(output_, {});
+    writtenBytes_ = 0;
+    writeSome();
+}
+
+void ServerConnection::writeSome()
+{
     asio::error_code error;
-    const std::size_t written = socket_.write_some(asio::buffer(writing_), error);
+    const std::size_t size = socket_.write_some(asio::buffer(writing_) + writtenBytes_, error);
     if (error && error != asio::error::would_block) {
         close();
         return;
     }
-    const std::size_t writtenBytes = error ? 0 : written;
-    if (writtenBytes == writing_.size()) {
+    if (!error) {
+        writtenBytes_ += size;
+        lastActivity_ = clock_.now();
+        account_.recordProgress(size);
+    }
+    if (writtenBytes_ == writing_.size()) {
         onWriteFinished();
         return;
     }
-    asio::async_write(socket_, asio::buffer(writing_.data() + writtenBytes, writing_.size() - writtenBytes),
-                      [self = shared_from_this()](const asio::error_code &failure, std::size_t) {
-                          if (self->closed_) {
-                              return;
-                          }
-                          if (failure) {
-                              self->close();
-                              return;
-                          }
-                          self->onWriteFinished();
-                      });
+    socket_.async_wait(Socket::wait_write, [self = shared_from_this()](const asio::error_code &failure) {
+        if (!self->closed_) {
+            failure ? self->close() : self->writeSome();
+        }
+    });
 }
 
 void ServerConnection::onWriteFinished()
 {
-    lastActivity_ = clock_.now();
     writing_.clear();
     writing_.shrink_to_fit();
     if (!output_.empty()) {
@@ -345,6 +324,8 @@
     if (closing_ && pendingRequests_.empty()) {
         lingerThenClose();
     }
+    updateAccount();
+    resume();
 }
 
 void ServerConnection::lingerThenClose()
@@ -355,6 +336,7 @@
     lingering_ = true;
     closing_ = true;
     lastActivity_ = clock_.now();
+    lingerStarted_ = lastActivity_;
     asio::error_code error;
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, error);
     if (error) {
@@ -364,7 +346,35 @@
     waitForInput();
 }
 
-void ServerConnection::close()
+ClientState ServerConnection::state() const
+{
+    if (!writing_.empty() || !output_.empty()) {
+        return ClientState::Unread;
+    }
+    if (!input_.empty() || parser_.isInMessage()) {
+        return ClientState::Receiving;
+    }
+    return pendingRequests_.empty() ? ClientState::Idle : ClientState::Handling;
+}
+
+/** Tells the budget what the connection holds. The budget may close this connection. */
+void ServerConnection::updateAccount()
+{
+    if (!parsing_) {
+        account_.update(input_.size() + parser_.heldBytes(), output_.size() + writing_.size(), state());
+    }
+}
+
+void ServerConnection::cutOff(ClientEnd end)
+{
+    const auto self = shared_from_this(); // The server forgets the connection.
+    const bool canRefuse =
+        end == ClientEnd::HeldBytes && state() == ClientState::Receiving && !closing_ && pendingRequests_.empty();
+    account_.setReason(end);
+    canRefuse ? reject(kStatusUnavailable) : close(end);
+}
+
+void ServerConnection::close(ClientEnd end)
 {
     if (closed_) {
         return;
@@ -372,6 +382,11 @@
     closed_ = true;
     asio::error_code ignored;
     socket_.close(ignored);
+    std::string().swap(input_);
+    std::string().swap(output_);
+    std::string().swap(writing_);
+    parser_.discard();
+    account_.close(end);
     if (handler_ != nullptr) {
         handler_->connectionClosed(id_);
     }
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -2,7 +2,9 @@
 #define HIBISCUS_HTTP_SERVERCONNECTION_H
 
 #include "core/clock.h"
+#include "http/connectionaccount.h"
 #include "http/httphandler.h"
+#include "http/pendingrequest.h"
 #include "http/requestparser.h"
 
 #include <deque>
@@ -24,13 +26,15 @@
     Millis idleTimeout;
     Millis headerTimeout;
     Millis requestTimeout;
+    ClientBudget *budget = nullptr; ///< Optional.
+    ClientShare share = ClientShare::Callers;
 };
 
 /**
  * One connection of an HttpServer: reads pipelined requests and writes their responses in the same order. All steps run
  * on the strand of the connection.
  */
-class ServerConnection : public std::enable_shared_from_this<ServerConnection>
+class ServerConnection : public BudgetedClient, public std::enable_shared_from_this<ServerConnection>
 {
 public:
     using Socket = asio::basic_stream_socket<asio::ip::tcp, asio::strand<asio::io_context::executor_type>>;
@@ -50,27 +54,29 @@
     /** Closes the socket without notifying the handler and the server, which are about to be destroyed. */
     void detach();
 
-private:
-    /** A request whose response has not been written yet. */
-    struct PendingRequest {
-        std::optional<HttpResponse> response;
-        bool keepAlive = true;
-        TimePoint received;
-    };
+    void cutOff(ClientEnd end) override;
 
+private:
     template<class Step>
     void post(Step step);
+    bool hasInput() const;
+    std::optional<ClientEnd> exceededTimeout(TimePoint now) const;
     void waitForInput();
     void readInput();
     void parseInput();
     bool dispatchRequest();
     void setResponse(const std::shared_ptr<PendingRequest> &pending, HttpResponse response);
-    void rejectMalformedRequest();
+    void reject(int status);
     void writeReadyResponses();
     void write();
+    void writeSome();
     void onWriteFinished();
     void lingerThenClose();
-    void close();
+    void resume();
+    bool isPaused() const;
+    void updateAccount();
+    ClientState state() const;
+    void close(ClientEnd end = ClientEnd::Closed);
 
     Socket socket_;
     std::uint64_t id_;
@@ -83,9 +89,14 @@
     std::deque<std::shared_ptr<PendingRequest>> pendingRequests_; ///< In the order of their arrival.
     std::string output_;
     std::string writing_;
+    std::size_t writtenBytes_ = 0; ///< Of writing_.
+    ConnectionAccount account_;
     TimePoint lastActivity_;
     TimePoint messageStarted_;
+    TimePoint lingerStarted_;
     bool reading_ = false;
+    bool parsing_ = false;
+    bool paused_ = false; ///< Neither read nor parsed until the client has read.
     bool continueSent_ = false;
     bool closing_ = false; ///< No more requests are read; the connection closes once output_ is written.
     bool closeWhenIdle_ = false;
--- a/src/mesh/checkinhandler.cpp
+++ b/src/mesh/checkinhandler.cpp
@@ -15,6 +15,8 @@
 
 /** Fraction of the server's timeout that a write to the store may take; the rest is for the acknowledgement. */
 constexpr double kStoreTimeoutShare = 0.7;
+/** Longest report. Its values take many times as much memory once they are parsed. */
+constexpr std::size_t kMaximumReportBytes = 64U << 10U;
 
 } // namespace
 
@@ -30,7 +32,8 @@
 
 void CheckInHandler::handle(HttpRequest request, HttpResponder respond)
 {
-    const std::optional<ServerReport> report = protocol_.decode(request);
+    const std::optional<ServerReport> report =
+        request.body.size() <= kMaximumReportBytes ? protocol_.decode(request) : std::nullopt;
     if (!report) {
         logEvent(LogEvent::CheckInRejected, "unreadable report: " + request.method + " " + request.target);
         respond(protocol_.reject());
--- a/src/mesh/meshdaemon.cpp
+++ b/src/mesh/meshdaemon.cpp
@@ -8,6 +8,7 @@
 #include "http/eventloop.h"
 #include "http/httpserver.h"
 #include "mesh/checkinhandler.h"
+#include "mesh/clientguard.h"
 #include "mesh/pagehandler.h"
 #include "mesh/routedcallhandler.h"
 
@@ -85,6 +86,7 @@
     DaemonIdentity self;
     SharedTables tables;
     Guarded<RoutingTable> routing;
+    ClientBudget clientBudget; ///< Outlives the connections.
     asio::io_context context{1};
     HttpClient client;
     LocalServer localServer;
@@ -118,6 +120,7 @@
            Incarnation(DeviceRandom().next())}
     , tables(self, clock)
     , routing(BalancerSettings{self.server, settings.domain}, clock, routingRandom)
+    , clientBudget(clientLimits(settings.clients, maximumDescriptors()), clock)
     , client(context)
     , localServer(settings.service, settings.backend)
     , health(self, "/", client, clock)
@@ -171,7 +174,7 @@
         return HttpResponse{isReady() ? kStatusOk : kStatusUnavailable, {}, ""};
     })
     , metricsPage([this] {
-        return HttpResponse{kStatusOk, {}, tables.metrics.exposition()};
+        return HttpResponse{kStatusOk, {}, tables.metrics.exposition() + clientMetrics(clientBudget)};
     })
     , signals(context, SIGTERM, SIGINT)
     , startedAt(
@@ -212,6 +215,8 @@
 {
     HttpServerSettings serverSettings;
     serverSettings.address = address;
+    serverSettings.budget = &clientBudget;
+    serverSettings.share = &handler == &calls || &handler == &metricsPage ? ClientShare::Callers : ClientShare::Inner;
     servers.push_back(std::make_unique<HttpServer>(context, serverSettings, handler));
     const auto opened = servers.back()->open();
     if (!opened) {
@@ -246,6 +251,9 @@
     if (const ServiceProfile *profile = routes->service(settings.service)) {
         health.setHealthPath(profile->healthPath);
     }
+    for (const auto &server : servers) {
+        server->setLimits(listenerLimits(configuration.limits, server->share()));
+    }
     calls.setRoutes(routes);
     configureAdmission();
     return true;
--- a/src/mesh/meshsettings.cpp
+++ b/src/mesh/meshsettings.cpp
@@ -18,6 +18,10 @@
 constexpr Millis kMaximumDuration{3'600'000};
 constexpr double kMaximumRatio = 10;
 constexpr double kMaximumSlack = 1'000'000;
+constexpr std::int64_t kMinimumHeldBytes = 1 << 20;
+constexpr std::int64_t kMaximumHeldBytes = std::int64_t{1} << 40;
+constexpr std::int64_t kMinimumConnections = 8;
+constexpr std::int64_t kMaximumConnections = 1'000'000;
 
 HostAddress readAddress(ObjectReader &reader, std::string_view key, ErrorList &errors)
 {
@@ -52,6 +56,23 @@
     return settings;
 }
 
+ClientSettings readClients(const json &value, const std::string &location, ErrorList &errors)
+{
+    ObjectReader reader(value, location, errors);
+    ClientSettings settings;
+    if (!reader.isObject()) {
+        return settings;
+    }
+    if (reader.has("heldBytes")) {
+        settings.heldBytes = reader.integer("heldBytes", kMinimumHeldBytes, kMaximumHeldBytes);
+    }
+    if (reader.has("connections")) {
+        settings.connections = reader.integer("connections", kMinimumConnections, kMaximumConnections);
+    }
+    reader.finish();
+    return settings;
+}
+
 MeshSettings readSettings(const json &value, ErrorList &errors)
 {
     ObjectReader reader(value, "", errors);
@@ -76,6 +97,9 @@
     settings.store = readAddress(reader, "store", errors);
     settings.gracePeriod = reader.duration("gracePeriod", kMinimumDuration, kMaximumDuration);
     settings.retryBudget = readRetryBudget(reader.member("retryBudget"), reader.locationOf("retryBudget"), errors);
+    if (reader.has("clients")) {
+        settings.clients = readClients(reader.member("clients"), reader.locationOf("clients"), errors);
+    }
     reader.finish();
     return settings;
 }
--- a/src/mesh/meshsettings.h
+++ b/src/mesh/meshsettings.h
@@ -5,6 +5,7 @@
 #include "core/ids.h"
 #include "core/millis.h"
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,6 +22,12 @@
     double slack = 50; ///< Retries in each window that are allowed in addition to the ratio.
 };
 
+/** Bounds on what the clients of a daemon hold together; 0 for the default. */
+struct ClientSettings {
+    std::int64_t heldBytes = 0;
+    std::int64_t connections = 0;
+};
+
 /** Settings of a daemon that serves routes beside a backend server that registers itself. */
 struct MeshSettings {
     std::string host; ///< Name of the host.
@@ -37,6 +44,7 @@
     Millis serverLostAfter{10000}; ///< A server that refuses connections for this long counts as lost for good.
     Millis checkInTimeout{1000}; ///< Time for which a backend server waits for the response to a heartbeat.
     RetryBudgetSettings retryBudget;
+    ClientSettings clients;
 };
 
 /** Reads the settings: JSON with comments. Unknown members are errors. */
