--- a/src/core/logevent.cpp
+++ b/src/core/logevent.cpp
@@ -43,6 +43,7 @@
     {LogEvent::AttemptFailed, "attempt-failed", Severity::Warning, true},
     {LogEvent::RequestCancelled, "request-cancelled", Severity::Info, true},
     {LogEvent::CallerRefused, "caller-refused", Severity::Info, true},
+    {LogEvent::ClientCutOff, "client-cut-off", Severity::Warning, true},
     {LogEvent::ConfigurationAdopted, "configuration-adopted", Severity::Info},
     {LogEvent::ConfigurationRejected, "configuration-rejected", Severity::Error},
     {LogEvent::ConfigurationKept, "configuration-kept", Severity::Info, true},
--- a/src/core/logevent.h
+++ b/src/core/logevent.h
@@ -34,6 +34,7 @@
     AttemptFailed = 2215,
     RequestCancelled = 2216,
     CallerRefused = 2217,
+    ClientCutOff = 2301,
     ConfigurationAdopted = 3101,
     ConfigurationRejected = 3103,
     ConfigurationKept = 3104,
--- a/src/mesh/meshdaemon.cpp
+++ b/src/mesh/meshdaemon.cpp
@@ -9,6 +9,7 @@
 #include "mesh/adoptedconfiguration.h"
 #include "mesh/allotmentservice.h"
 #include "mesh/checkinhandler.h"
+#include "mesh/clientguard.h"
 #include "mesh/directoryroutes.h"
 #include "mesh/drainsequence.h"
 #include "mesh/localregistration.h"
@@ -69,6 +70,7 @@
     DaemonIdentity self;
     SharedTables tables;
     Guarded<RoutingTable> routing;
+    ClientBudget clientBudget; ///< Outlives the connections.
     asio::io_context context{1};
     HttpClient client;
     LocalServer localServer;
@@ -84,7 +86,7 @@
     CheckInHandler checkIns;
     PageHandler readyPage;
     PageHandler metricsPage;
-    MeshListeners listeners{context};
+    MeshListeners listeners;
     PeriodicTimers timers{context};
     DrainSequence drainSequence;
     asio::signal_set signals;
@@ -101,6 +103,7 @@
            Incarnation(DeviceRandom().next())}
     , tables(self, clock)
     , routing(BalancerSettings{self.server, settings.domain}, clock, routingRandom)
+    , clientBudget(clientLimits(settings.clients, maximumDescriptors()), clock)
     , client(context)
     , localServer(settings.service, settings.backend)
     , registration(settings, localServer, self.incarnation)
@@ -160,8 +163,10 @@
         return HttpResponse{isReady() ? kStatusOk : kStatusUnavailable, {}, ""};
     })
     , metricsPage([this] {
-        return HttpResponse{kStatusOk, {}, tables.metrics.exposition() + allotments.exposition()};
+        return HttpResponse{
+            kStatusOk, {}, tables.metrics.exposition() + allotments.exposition() + clientMetrics(clientBudget)};
     })
+    , listeners(context, clientBudget)
     , drainSequence(timers, clock, settings.gracePeriod, drainSteps())
     , signals(context, SIGTERM, SIGINT)
 {
@@ -204,6 +209,7 @@
     if (const ServiceProfile *profile = routes->service(settings.service)) {
         health.setHealthPath(profile->healthPath);
     }
+    listeners.setLimits(routes->configuration().limits);
     calls.setRoutes(routes);
     allotments.setTeams(routes->configuration().teams, deployment.directory());
     configureAdmission();
@@ -337,7 +343,9 @@
         if (address.value().empty()) {
             continue;
         }
-        if (auto result = d_->listeners.open(name, address, *handler); !result) {
+        const bool isForCallers = handler == &d_->calls || handler == &d_->metricsPage;
+        const ClientShare share = isForCallers ? ClientShare::Callers : ClientShare::Inner;
+        if (auto result = d_->listeners.open(name, address, share, *handler); !result) {
             return result;
         }
     }
