--- a/src/admission/admissionlevel.h
+++ b/src/admission/admissionlevel.h
@@ -41,9 +41,10 @@
  * The lowest level that is admitted. A window with queueing delay raises it so that the expected admitted load matches
  * what completed; a window without delay lowers it in proportion to the free capacity.
  *
- * Load below the level may be shed upstream, so that it never arrives here. Buckets are hashes, so the load of a class
- * is spread evenly over them, and that of a partly admitted class is extrapolated from its admitted buckets. The last
- * estimate for a class that is refused as a whole decays over about a second.
+ * Load below the level may be shed upstream, so that it never arrives here. The load of a partly admitted class is
+ * extrapolated from its admitted buckets as if it were spread evenly. Where teams compete, the upper buckets hold more
+ * (see fairBucket()): the load of the others is then overestimated, and the level takes a few windows more to settle.
+ * The last estimate for a class that is refused as a whole decays over about a second.
  */
 class AdmissionLevel
 {
--- a/src/admission/level.h
+++ b/src/admission/level.h
@@ -7,7 +7,8 @@
 namespace Hibiscus
 {
 
-/** Buckets per request class. The bucket is a hash of the root request, so all calls below one root share it. */
+/** Buckets per request class. The bucket is from a hash of the root request (see fairBucket()), so all calls below one
+ * root share it. */
 inline constexpr int kBucketsPerClass = 128;
 
 /**
--- a/src/daemon/callrequest.h
+++ b/src/daemon/callrequest.h
@@ -19,7 +19,7 @@
 struct RootContext {
     ClassName requestClass;
     int rank = 0; ///< Rank of the class; 0 is the least important.
-    int bucket = 0; ///< 0 to 127, from a hash of the root's identity or request id.
+    int bucket = 0; ///< 0 to 127, from a hash of the root's identity or request id; see also fairBucket().
     std::optional<RequestIdentity> identity; ///< Empty if the caller holds none.
 };
 
--- a/src/teams/autotests/fairordertest.cpp
+++ b/src/teams/autotests/fairordertest.cpp
@@ -138,7 +138,9 @@
     calm.run(multiplesOf(1, {}));
     const std::vector<int> largest{0};
     const std::vector<int> three{0, 4, 39};
-    for (const auto &[multiple, hot] : {std::pair(6.4, largest), std::pair(4.5, three)}) {
+    for (const auto &load : {std::pair(6.4, largest), std::pair(4.5, three)}) {
+        const double multiple = load.first;
+        const std::vector<int> &hot = load.second;
         CAPTURE(hot.size());
         Play fair(fairBucket, kRoom);
         fair.run(multiplesOf(multiple, hot));
