Metrics: ended calls by team and result

Cause: an operator can't see from the metrics which team is refused, and why. Nothing is written in a deployment without teams. Measured: test_daemon and the RoutedCallHandler cases of test_mesh pass.

--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -43,6 +43,12 @@
     out << "# TYPE " << name << " counter\n" << name << ' ' << value << '\n';
 }
 
+/** Label of a call that ended with @p error, or with a complete response if it is empty. */
+std::string resultOf(std::optional<ErrorKind> error)
+{
+    return error ? std::string(errorResponseFor(*error).name) : "completed";
+}
+
 } // namespace
 
 class Metrics::Histograms
@@ -61,12 +67,19 @@
 
 void Metrics::recordCall(const ClassName &requestClass, std::optional<ErrorKind> error, Millis duration)
 {
-    const std::string result = error ? std::string(errorResponseFor(*error).name) : "completed";
+    const std::string result = resultOf(error);
     const std::lock_guard lock(mutex_);
     ++calls_[{requestClass, result}];
     histograms_->callDuration(duration.value);
 }
 
+void Metrics::recordTeamCall(const TeamName &team, std::optional<ErrorKind> error)
+{
+    const std::string result = resultOf(error);
+    const std::lock_guard lock(mutex_);
+    teamCalls_.add(team, result);
+}
+
 void Metrics::recordAttempt()
 {
     ++attempts_;
@@ -106,6 +119,7 @@
         out << "hibiscus_calls_total{class=\"" << key.first.value() << "\",result=\"" << key.second << "\"} " << count
             << '\n';
     }
+    teamCalls_.write(out);
     writeHistogram(out, "hibiscus_call_duration_milliseconds", histograms_->callDuration);
     writeHistogram(out, "hibiscus_own_time_milliseconds", histograms_->ownTime);
     return out.str();
--- a/src/daemon/metrics.h
+++ b/src/daemon/metrics.h
@@ -4,6 +4,7 @@
 #include "core/errorkind.h"
 #include "core/ids.h"
 #include "core/millis.h"
+#include "daemon/teamcounters.h"
 
 #include <atomic>
 #include <cstdint>
@@ -27,6 +28,8 @@
 
     /** One call has ended at its coordinator. @p error is empty for a complete response. */
     void recordCall(const ClassName &requestClass, std::optional<ErrorKind> error, Millis duration);
+    /** The call was one of @p team; in addition to recordCall(). */
+    void recordTeamCall(const TeamName &team, std::optional<ErrorKind> error);
     void recordAttempt();
     void recordRetry();
     void recordOutcomeQuery();
@@ -46,6 +49,7 @@
     std::atomic<std::uint64_t> outcomeQueries_{0};
     mutable std::mutex mutex_;
     std::map<std::pair<ClassName, std::string>, std::uint64_t> calls_; ///< By class and error name.
+    TeamCounters teamCalls_;
     std::unique_ptr<Histograms> histograms_;
 };
 
--- a/src/mesh/autotests/routedteamtest.cpp
+++ b/src/mesh/autotests/routedteamtest.cpp
@@ -258,6 +258,9 @@
     CHECK(door.send("unknown", "k1") == 503);
     CHECK(door.gate.givenBack == 1);
     CHECK(door.backend.runs == 1);
+    const std::string metrics = door.tables.metrics.exposition();
+    CHECK(metrics.find(R"(team="red",result="over-allotment"} 2)") != std::string::npos);
+    CHECK(metrics.find(R"(team="red",result="completed"} 1)") != std::string::npos);
 }
 
 TEST_CASE("RoutedCallHandler: a decision that comes after its caller has left or its deadline has passed is given back")
--- a/src/mesh/routedcallhandler.cpp
+++ b/src/mesh/routedcallhandler.cpp
@@ -119,19 +119,21 @@
         finish(call, failedResult(ErrorKind::ParentUnknown));
         return;
     }
+    if (identity->team != nullptr) {
+        call->team = identity->team->name;
+    }
     startDeadlineTimer(call, callRequest.deadline - call->started);
-    if (identity->team != nullptr && gate_ != nullptr) {
-        askAllotment(call, std::move(callRequest), identity->team->name);
+    if (call->team && gate_ != nullptr) {
+        askAllotment(call, std::move(callRequest));
         return;
     }
     run(call, std::move(callRequest));
 }
 
-void RoutedCallHandler::askAllotment(const CallPtr &call, CallRequest request, const TeamName &team)
+void RoutedCallHandler::askAllotment(const CallPtr &call, CallRequest request)
 {
-    call->team = team;
     const auto shared = std::make_shared<CallRequest>(std::move(request));
-    gate_->admit(team, [this, call, shared](const AllotmentDecision &decision) {
+    gate_->admit(*call->team, [this, call, shared](const AllotmentDecision &decision) {
         allotmentDecided(call, std::move(*shared), decision);
     });
 }
@@ -280,6 +282,9 @@
     }
     const std::optional<ErrorKind> error = result.response ? std::nullopt : std::optional(result.response.error());
     services_.tables.metrics.recordCall(ClassName(call->routeName), error, services_.clock.now() - call->started);
+    if (call->team) {
+        services_.tables.metrics.recordTeamCall(*call->team, error);
+    }
     if (result.outcome() == Outcome::NotRun) {
         result.retryAfter = std::max(result.retryAfter.value_or(Millis{0}), retryAfterDelay(call->latencyTarget));
     }
--- a/src/mesh/routedcallhandler.h
+++ b/src/mesh/routedcallhandler.h
@@ -46,7 +46,7 @@
     CallRequest makeRequest(HttpRequest request, const Route &route, const CallerRequestMetadata &metadata,
                             const CallerIdentity &identity) const;
     CallerDescription describe(const CallerIdentity &identity) const;
-    void askAllotment(const CallPtr &call, CallRequest request, const TeamName &team);
+    void askAllotment(const CallPtr &call, CallRequest request);
     void allotmentDecided(const CallPtr &call, CallRequest request, const AllotmentDecision &decision);
     void run(const CallPtr &call, CallRequest request);
     bool linkToParent(Call &call, CallRequest &request);
