--- a/src/teams/autotests/allotmentfleet.h
+++ b/src/teams/autotests/allotmentfleet.h
@@ -102,6 +102,7 @@
     void heal()
     {
         groups_.clear();
+        shareDirectory();
     }
     void setFrozen(std::size_t daemon, bool frozen)
     {
@@ -116,6 +117,7 @@
         for (const auto &event : std::exchange(node.missed, {})) {
             event();
         }
+        shareDirectory();
     }
     void kill(std::size_t daemon)
     {
@@ -131,6 +133,12 @@
         start(*nodes_[daemon]);
         shareDirectory();
     }
+    void restartIfDead(std::size_t daemon)
+    {
+        if (!nodes_[daemon]->isRunning) {
+            restart(daemon);
+        }
+    }
     /** The daemon's entry is removed from the directory, which all others learn; or put back. */
     void setListed(std::size_t daemon, bool listed)
     {
@@ -213,6 +221,10 @@
     {
         const Daemons daemons = directory();
         for (const auto &node : nodes_) {
+            // Group 0 is in touch with the store.
+            if (node->isFrozen || (!groups_.empty() && groups_[node->index] != 0)) {
+                continue;
+            }
             node->ledger->setDaemons(daemons);
             for (unsigned p = 0; p < kPartitions; ++p) {
                 const auto lender = lenderOf(Partition(p), daemons);
@@ -280,9 +292,9 @@
         if (!passes(daemon, lender)) {
             return;
         }
-        deliver(lender, delay(), [this, daemon, lender, partition, report, once] {
+        deliver(lender, delay(), [this, daemon, lender, partition, report, once, life = nodes_[daemon]->life] {
             const AllotmentAnswer answer = nodes_[lender]->ledger->lend(partition, report);
-            if (passes(lender, daemon)) {
+            if (passes(lender, daemon) && nodes_[daemon]->life == life) {
                 deliver(daemon, delay(), [once, answer] { once(answer); });
             }
         });
