TeamLedger: what holders have for being alone counts in the burst; unlisted holders are remembered for a minute

And a holder that was cut off after its entry had left the directory was forgotten after 2 s while it still used its share. Ruled out: no tokens at the beginning of a cut (a team with a request a minute at each daemon would get none in the 5 to 8 s of a cut). Change: a quarter of the burst is not lent; holders have it, and 0.3 of the burst or 0.4 s of the rate, in proportion to their shares. An unlisted holder is forgotten after 60 s, a replaced one after 2 s, a listed one never. The model changed in two ways, since its daemons did what none can: an entry is removed only by a daemon that reaches the store, and an unlisted daemon gets no more requests. Seen failing: as above, before the change.

--- a/src/teams/allotmentledger.cpp
+++ b/src/teams/allotmentledger.cpp
@@ -110,7 +110,10 @@
     return {part, clock_.now() - lending.begunAt < AllotmentTerms::kTakeOver,
             [this](const HostAddress &holder, Incarnation incarnation) {
                 const auto found = daemons_.find(holder);
-                return found != daemons_.end() && found->second == incarnation;
+                if (found == daemons_.end()) {
+                    return TeamLedger::Presence::Unlisted;
+                }
+                return found->second == incarnation ? TeamLedger::Presence::Listed : TeamLedger::Presence::Replaced;
             }};
 }
 
--- a/src/teams/autotests/allotmentfleet.h
+++ b/src/teams/autotests/allotmentfleet.h
@@ -55,7 +55,7 @@
     void request(std::size_t daemon, const TeamName &team)
     {
         Node &node = *nodes_[daemon];
-        if (node.isFrozen || !node.isRunning) {
+        if (node.isFrozen || !node.isRunning || !node.isListed) {
             return;
         }
         node.gate->admit(team, [this, team, since = clock.now()](const AllotmentDecision &decision) {
@@ -139,9 +139,14 @@
             restart(daemon);
         }
     }
-    /** The daemon's entry is removed from the directory, which all others learn; or put back. */
+    /** The daemon gets no more requests, and its entry is removed from the directory, which all others learn; or put
+     * back. */
     void setListed(std::size_t daemon, bool listed)
     {
+        // A daemon that can't reach the store can't change its entry there.
+        if (nodes_[daemon]->isFrozen || (!groups_.empty() && groups_[daemon] != 0)) {
+            return;
+        }
         nodes_[daemon]->isListed = listed;
         shareDirectory();
     }
--- a/src/teams/autotests/allotmentmodeltest.cpp
+++ b/src/teams/autotests/allotmentmodeltest.cpp
@@ -97,8 +97,8 @@
         fleet_.lossRate = 0;
         fleet_.heal();
         for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
-            fleet_.setListed(daemon, true);
             fleet_.setFrozen(daemon, false);
+            fleet_.setListed(daemon, true);
             fleet_.restartIfDead(daemon);
         }
         fleet_.run(Millis{8000});
--- a/src/teams/teamledger.cpp
+++ b/src/teams/teamledger.cpp
@@ -11,10 +11,14 @@
 {
 
 constexpr double kMillisPerSecond = 1000;
-/** A silent holder whose process can't run any more is forgotten after this time. */
-constexpr Millis kForgetAfter{2000};
+/** A silent holder is forgotten after this time, once another process of its daemon is listed. */
+constexpr Millis kForgetReplacedAfter{2000};
+/** The same if its daemon isn't listed: longer than the drain of a daemon. */
+constexpr Millis kForgetUnlistedAfter{60000};
 /** Part of the allotment that is given out in shares; the rest is at hand for daemons that get their first requests. */
 constexpr double kSharedPart = 0.95;
+/** Part of the burst that is not lent, since holders have it in case that the lender doesn't answer. */
+constexpr double kOwnPart = 0.25;
 /** Part of the burst that holders keep together as tokens for requests to come. */
 constexpr double kLentBurst = 0.8;
 /** Part of the tokens there are that one holder gets for requests to come. */
@@ -24,6 +28,12 @@
 constexpr Millis kShortestRetry{50};
 constexpr Millis kLongestRetry{10000};
 
+bool mayForget(TeamLedger::Presence presence, Millis silent)
+{
+    return presence == TeamLedger::Presence::Replaced
+        || (presence == TeamLedger::Presence::Unlisted && silent > kForgetUnlistedAfter);
+}
+
 } // namespace
 
 TeamLedger::TeamLedger(const Allotment &allotment, TimePoint now)
@@ -60,7 +70,7 @@
         incarnation, demand.demand.perSecond, demand.usual.perSecond, std::min(demand.share, 1.0), demand.stock, now,
         false};
     count(loan, 1);
-    bucket_ = std::min(bucket_ + demand.returned, std::max(0.0, burst() - tokensOut_ - silentBursts_));
+    bucket_ = std::min(bucket_ + demand.returned, std::max(0.0, burst() - tokensOut_));
 
     const double usable = usableTokens(demand);
     const double tokens = std::min(usable, grantLimit(demand, sinceLast));
@@ -95,9 +105,10 @@
 {
     const RequestRate before = lendableRate();
     std::erase_if(loans_, [&](const auto &entry) {
-        return now - entry.second.heardAt > kForgetAfter && !view.mayRun(entry.first, entry.second.incarnation);
+        const Millis silent = now - entry.second.heardAt;
+        return silent > kForgetReplacedAfter && mayForget(view.presence(entry.first, entry.second.incarnation), silent);
     });
-    demand_ = usual_ = liveShare_ = silentShare_ = tokensOut_ = silentBursts_ = 0;
+    demand_ = usual_ = liveShare_ = silentShare_ = tokensOut_ = 0;
     for (auto &[holder, loan] : loans_) {
         loan.isSilent = now - loan.heardAt > AllotmentTerms::kSilentAfter;
         if (now - loan.heardAt > AllotmentTerms::kTokenLifetime) {
@@ -115,7 +126,7 @@
 {
     const double seconds = (now - refilledAt_).value / kMillisPerSecond;
     refilledAt_ = now;
-    const double limit = std::max(0.0, burst() - tokensOut_ - silentBursts_);
+    const double limit = std::max(0.0, burst() - tokensOut_);
     bucket_ = std::min(bucket_ + rate.perSecond * seconds, limit);
 }
 
@@ -124,7 +135,6 @@
     tokensOut_ += sign * loan.tokens;
     if (loan.isSilent) {
         silentShare_ += sign * loan.share;
-        silentBursts_ += sign * ownBurst(loan.share);
         return;
     }
     liveShare_ += sign * loan.share;
@@ -134,12 +144,16 @@
 
 double TeamLedger::ownBurst(double share) const
 {
-    return share * burst();
+    constexpr double kMostBurst = 0.3;
+    constexpr double kMostSeconds = 0.4;
+    constexpr double kTokens = 8;
+    const double beyond = std::min(kMostBurst * allotment_.burst, kMostSeconds * allotment_.rate.perSecond);
+    return share * (kOwnPart * allotment_.burst + beyond + kTokens);
 }
 
 double TeamLedger::burst() const
 {
-    return allotment_.burst + kSlack;
+    return (1 - kOwnPart) * allotment_.burst + kSlack;
 }
 
 RequestRate TeamLedger::lendableRate() const
--- a/src/teams/teamledger.h
+++ b/src/teams/teamledger.h
@@ -16,21 +16,28 @@
  * Answers a load that is uneven and moves between daemons, and a team that sends many times its allotment: then each
  * daemon gets tokens in proportion to the requests that it sees, so that each request has the same chance.
  *
- * Holds the tokens that are not lent. These, the tokens at holders and what silent holders may save up stay within the
- * burst, and the rates at which they grow stay within the rate. Over any time, holders thus run at most
- * rate x time + burst requests, plus a constant slack. A share that was granted is reserved while its holder is silent,
- * for as long as its process may run.
+ * Holds the tokens that are not lent. These and the tokens at holders stay within the larger part of the burst; the
+ * rest is what holders have in case that the lender doesn't answer, plus the smaller of 0.3 of the burst and 0.4 s of
+ * the rate. The rates at which all of them grow stay within the rate. Over any time, holders thus run at most rate x
+ * time + burst requests, plus this and a constant slack. A share that was granted is reserved while its holder is
+ * silent, for as long as its process may run.
  */
 class TeamLedger
 {
 public:
+    /** What the directory says of a process. */
+    enum class Presence {
+        Listed,
+        Unlisted, ///< Its daemon has no server yet, or will end soon.
+        Replaced, ///< Another process of the daemon is listed.
+    };
+
     /** What the lender knows of the deployment. */
     struct View {
         /** Fraction of the daemons that have not reported to this lender yet, and so may hold any share. */
         double unheard = 0;
         bool isTakingOver = false; ///< The lender is new: unheard daemons may hold all that others don't hold.
-        /** Whether the process may still run. */
-        std::function<bool(const HostAddress &holder, Incarnation incarnation)> mayRun{};
+        std::function<Presence(const HostAddress &holder, Incarnation incarnation)> presence{};
     };
 
     /** Requests beyond the allotment that keep teams with few requests a second from being refused by chance. */
@@ -103,7 +110,6 @@
     double liveShare_ = 0; ///< Of holders in touch.
     double silentShare_ = 0;
     double tokensOut_ = 0;
-    double silentBursts_ = 0;
     double assumedShare_ = 1; ///< Of daemons that have not reported yet.
 };
 
