ClassReserve: a reserve that rose by mistake no longer starves the lower classes beside idle slots

Cause: the hold time of the lower classes was smoothed from 0 with a weight of 1/128, so the first completions after a start counted as overdue, the reserve rose to the peak of the higher classes, and the one slot that was left gave too few samples to correct it. A surge of the highest class or a server that became more than 1.5 times slower did the same: for 10 s and more the lowest class got one slot, while queued nested calls of admitted requests expired beside idle slots.

Ruled out: the reserve from the ratio of hold to own time (1 at the bottom service), the concurrency limit (all slots), and the admission level, which only follows the queue.

Change: the first samples count fully, the hold time is learned from 16 samples while completions are overdue, and the sum of overdue completions is bounded by 30 instead of 60.

--- a/src/admission/autotests/admissioncontrollertest.cpp
+++ b/src/admission/autotests/admissioncontrollertest.cpp
@@ -231,6 +231,32 @@
     }
 }
 
+TEST_CASE("AdmissionController: the lowest class gets the free slots again after a surge of the highest")
+{
+    // Guards against a reserve that takes the lower classes for stalled, since it knows no hold time of theirs or only
+    // one from before, and leaves them one slot while others stay idle.
+    for (const int slots : {12, 62}) {
+        CAPTURE(slots);
+        constexpr double kOwnTime = 30;
+        const double capacity = slots / kOwnTime;
+        QueueModel model(slots);
+        Phase phase{.arrivals = 1.2 * capacity, .share = {0.3, 0.7}, .ownTime = kOwnTime, .deadline = 800};
+        model.run(phase, 1000);
+        phase.share = {0.6, 0.4};
+        phase.arrivals = 0.8 * capacity;
+        const auto after = model.run(phase, 5000);
+        CHECK(after[0].completed >= 0.9 * after[0].arrived);
+        CHECK(after[1].completed >= 0.98 * after[1].arrived);
+
+        // A server that becomes slower, though not enough for a trial of its limit, must not look as if it stood still.
+        constexpr double kSlower = 1.9;
+        phase.ownTime *= kSlower;
+        phase.arrivals /= kSlower;
+        const auto slow = model.run(phase, 1500);
+        CHECK(slow[0].completed >= 0.9 * slow[0].arrived);
+    }
+}
+
 TEST_CASE("AdmissionController: the limit and the goodput survive faults of the server")
 {
     // Guards against a collapse of the limit or the goodput after a shift of the mix, a cold start or a wrong
--- a/src/admission/classreserve.cpp
+++ b/src/admission/classreserve.cpp
@@ -13,7 +13,10 @@
 constexpr Millis kPeakPeriod{5000};
 constexpr double kMeanWeight = 0.2;
 // With exponentially distributed hold times the standard error of the smoothed hold time is 6%.
-constexpr double kHoldWeight = 1.0 / 128;
+constexpr int kHoldSamples = 128;
+// While completions are overdue, the hold time is learned from this many of them. A server that has become slower is
+// thus told apart from one that stands still while the reserve leaves the lower classes only a few slots.
+constexpr int kOverdueHoldSamples = 16;
 // Shorter own service times are mostly loopback and scheduling noise, in ms.
 constexpr double kMinOwnTime = 1;
 
@@ -28,7 +31,7 @@
 // process.
 constexpr double kOverdueCompletionsThreshold = 20;
 // Upper bound of the sum of overdue completions, so that it falls soon after the deep service responds again.
-constexpr double kMaxOverdueCompletions = 60;
+constexpr double kMaxOverdueCompletions = 30;
 
 } // namespace
 
@@ -91,8 +94,7 @@
         split.overdueCompletions = std::max(0.0, split.overdueCompletions - 1);
         // Set to zero when no lower request is left, so that rounding errors do not add up.
         split.lowerStartSum = split.lowerInFlight == 0 ? 0 : split.lowerStartSum - start.value;
-        split.lowerHoldTime += kHoldWeight * ((now - start).value - split.lowerHoldTime);
-        split.lowerOwnTime += kHoldWeight * (ownTime.value - split.lowerOwnTime);
+        recordHold(split, now - start, ownTime);
     }
 }
 
@@ -172,6 +174,17 @@
     return std::min(split.overdueCompletions + due, kMaxOverdueCompletions);
 }
 
+/** The first samples count fully, since times smoothed from 0 would make the completions after them seem overdue. */
+void ClassReserve::recordHold(ClassSplit &split, Millis hold, Millis ownTime)
+{
+    const bool isOverdue = split.overdueCompletions > kOverdueCompletionsThreshold;
+    const int mostSamples = isOverdue ? kOverdueHoldSamples : kHoldSamples;
+    split.lowerSamples = std::min(split.lowerSamples + 1, mostSamples);
+    const double weight = 1.0 / split.lowerSamples;
+    split.lowerHoldTime += weight * (hold.value - split.lowerHoldTime);
+    split.lowerOwnTime += weight * (ownTime.value - split.lowerOwnTime);
+}
+
 /** From 0 (slots are held for at most 1.5 times the own service time) to 1 (for at least 2.5 times). */
 double ClassReserve::stallFactor(const ClassSplit &split, TimePoint now)
 {
--- a/src/admission/classreserve.h
+++ b/src/admission/classreserve.h
@@ -56,6 +56,7 @@
         double lowerStartSum = 0; ///< Sum of the start times of the lower ones in flight, in ms.
         /** Completions of lower requests that were due but did not happen, less those that happened early. */
         double overdueCompletions = 0;
+        int lowerSamples = 0; ///< Completions in the two values below, up to the number that they are smoothed over.
         double lowerHoldTime = 0; ///< Smoothed time for which a lower request holds a slot, in ms.
         double lowerOwnTime = 0; ///< Smoothed own service time of lower requests, in ms.
         int higherInFlight = 0;
@@ -68,6 +69,7 @@
     void integrate(TimePoint now);
     static int higherPeak(const ClassSplit &split);
     double overdueCompletions(const ClassSplit &split, TimePoint now) const;
+    static void recordHold(ClassSplit &split, Millis hold, Millis ownTime);
     static double stallFactor(const ClassSplit &split, TimePoint now);
     void updateReserve(std::size_t index, TimePoint now);
 
