ServerGateway: what an attempt's end says of the server is a file of its own

Change: ownTimeKey() and serverFailed() move to daemon/attemptquality; the behaviour is the same. Ruled out: a class, since there is no state.

--- a/src/daemon/servergateway.cpp
+++ b/src/daemon/servergateway.cpp
@@ -1,6 +1,7 @@
 #include "daemon/servergateway.h"
 
 #include "core/logevent.h"
+#include "daemon/attemptquality.h"
 #include "daemon/headernames.h"
 #include "daemon/loadreport.h"
 
@@ -17,26 +18,12 @@
  * response instead of an unknown outcome.
  */
 constexpr Millis kNonRepeatableGrace{10000};
-constexpr int kFirstServerErrorStatus = 500;
-constexpr int kStatusGatewayTimeout = 504;
 
 TicketId ticketOf(AttemptId attempt)
 {
     return TicketId(attempt.value());
 }
 
-/** Key under which the own service time of such calls is recorded. */
-ServiceName ownTimeKey(const CallRequest &call)
-{
-    return ServiceName(call.route.empty() ? call.root.requestClass.value() : call.route);
-}
-
-/** Whether an attempt can end with @p kind at a sound server. */
-bool saysNothingAboutServer(ErrorKind kind)
-{
-    return kind == ErrorKind::Cancelled || kind == ErrorKind::DeadlineExceeded || kind == ErrorKind::Unreachable;
-}
-
 StoredResponse storedResponse(const HttpResponse &response)
 {
     return {response.status, response.headers.fields(), response.body};
@@ -365,18 +352,15 @@
 void ServerGateway::recordQuality(const CallRequest &call, const CallResult &result, const ServiceSample &sample,
                                   const ScopeSummary &summary)
 {
-    const bool hasResponse = result.response.has_value();
-    if (!hasResponse && saysNothingAboutServer(result.response.error())) {
+    const std::optional<bool> failed = serverFailed(result, summary);
+    if (!failed) {
         return;
     }
-    const bool isServerError = hasResponse && result.response->status >= kFirstServerErrorStatus
-        && result.response->status != kStatusGatewayTimeout;
-    const bool failed = !hasResponse || (isServerError && !summary.childFailed);
     tables_.quality.with([&](ServerQuality &quality) {
-        if (hasResponse) {
+        if (result.response) {
             quality.recordTime(ownTimeKey(call), sample.ownTime());
         }
-        quality.recordResult(failed);
+        quality.recordResult(*failed);
     });
 }
 
