StartupPace: a server's answers decide how many of its slots it may use after a start

Cause: the limit rose from half of the slots to all of them over coldLeft or 10 s, whatever the server answered: a server that is warm at once idled, one that is cold at twice its time was held at a quarter of what it usually does, and one that is never well got all slots. Change: StartupPace, owned by the daemon beside the server, begins at half of the slots and steps up with good answers in time, stays while their time grows, goes back while the server fails, and begins lower if it went down again soon; the same for start, recovery and a lifted limit on the rate. coldLeft is a hint for a server without work. ConcurrencyLimit keeps its cold time only for its baseline. Log events 2007 and 2008 show time to full share and what the first 200 requests got.

--- a/src/admission/admissioncontroller.cpp
+++ b/src/admission/admissioncontroller.cpp
@@ -66,7 +66,7 @@
     }
     level_.recordArrival(ticket.level());
     if (!ticket.isExemptFromLevel && !level_.admits(ticket.level())) {
-        return refused(ErrorKind::Overloaded);
+        return refuse(ErrorKind::Overloaded, now);
     }
     const bool isFirstInQueue = queue_.highestClass().value_or(-1) < ticket.classRank;
     if (isFirstInQueue && canStart(ticket.classRank, now)) {
@@ -76,7 +76,7 @@
     if (!queue_.push(ticket)) {
         window_.classes[static_cast<std::size_t>(ticket.classRank)].dropped = true;
         refuseBelow_ = std::max(refuseBelow_, ticket.classRank);
-        return refused(ErrorKind::Overloaded);
+        return refuse(ErrorKind::Overloaded, now);
     }
     return {Decision::Kind::Queued};
 }
@@ -88,9 +88,7 @@
         const Running running = found->second;
         running_.erase(found);
         reserve_.finished(running.classRank, running.start, now, sample.ownTime());
-        limit_.record(sample, this->running());
-        recordHoldTime(sample.total);
-        window_.completed += sample.serverShed ? 0 : 1;
+        recordEnd(running, sample, now);
     }
     Dispatch dispatch;
     closeWindow(now);
@@ -98,12 +96,28 @@
     return dispatch;
 }
 
+void AdmissionController::recordEnd(const Running &ticket, const ServiceSample &sample, TimePoint now)
+{
+    limit_.record(sample, running());
+    pace_.record(sample, ticket.expectedOwnTime, now);
+    recordHoldTime(sample.total);
+    window_.completed += sample.serverShed ? 0 : 1;
+    if (sample.failed || sample.serverShed || sample.isServersFault) {
+        firstRequests_.failed(now);
+    } else {
+        firstRequests_.completed(sample.total, now);
+    }
+}
+
 Dispatch AdmissionController::tick()
 {
     const TimePoint now = clock_.now();
     Dispatch dispatch;
     refuseExpired(dispatch, now);
     refuseTimedOut(dispatch, now);
+    for (std::size_t i = 0; i < dispatch.refused.size(); ++i) {
+        firstRequests_.refused(now);
+    }
     closeWindow(now);
     startQueued(dispatch, now);
     return dispatch;
@@ -121,9 +135,15 @@
 
 Dispatch AdmissionController::setServerHealthy(bool healthy)
 {
+    const TimePoint now = clock_.now();
+    const bool hasRecovered = healthy && !healthy_;
     healthy_ = healthy;
     Dispatch dispatch;
+    if (hasRecovered) {
+        beginPace(Millis{0});
+    }
     if (!healthy) {
+        pace_.interrupt(now);
         appendRefused(dispatch, queue_.removeAll(), ErrorKind::Unreachable);
     }
     return dispatch;
@@ -132,6 +152,7 @@
 void AdmissionController::serverStarted(Millis coldStart)
 {
     limit_.beginColdStart(clock_.now(), coldStart);
+    beginPace(coldStart);
 }
 
 void AdmissionController::configure(const AdmissionSettings &settings)
@@ -155,16 +176,16 @@
     if (draining_ || !healthy_) {
         return 0;
     }
-    const int freeSlots = std::max(0, limit_.value() - running());
+    const int freeSlots = std::max(0, usableSlots() - running());
     return std::min(freeSlots, static_cast<int>(limit() * rateLimit_.freeShare(clock_.now())));
 }
 
 int AdmissionController::limit() const
 {
     if (!rateLimit_.value()) {
-        return limit_.value();
+        return usableSlots();
     }
-    const double paced = std::ceil(std::min<double>(rateLimit_.concurrency(holdTime_), limit_.value()));
+    const double paced = std::ceil(std::min<double>(rateLimit_.concurrency(holdTime_), usableSlots()));
     return std::max(1, static_cast<int>(paced));
 }
 
@@ -183,6 +204,16 @@
     return rateLimit_.timeUntilStart(queue_.size(), clock_.now());
 }
 
+StartupPace &AdmissionController::pace()
+{
+    return pace_;
+}
+
+FirstRequests &AdmissionController::firstRequests()
+{
+    return firstRequests_;
+}
+
 int AdmissionController::running() const
 {
     return reserve_.totalInFlight();
@@ -203,9 +234,39 @@
     return static_cast<int>(window_.classes.size());
 }
 
+void AdmissionController::beginPace(Millis coldStart)
+{
+    limitedShare_.reset();
+    if (pace_.begin(clock_.now(), coldStart)) {
+        firstRequests_.begin();
+    }
+}
+
+int AdmissionController::usableSlots() const
+{
+    return std::min(limit_.value(), pace_.usable(settings_.slots));
+}
+
+Decision AdmissionController::refuse(ErrorKind error, TimePoint now)
+{
+    firstRequests_.refused(now);
+    return refused(error);
+}
+
+/** A server that lifts its limit on the rate has slots to spare, but not necessarily all of them. */
+void AdmissionController::followRateLimit(TimePoint now)
+{
+    if (rateLimit_.value()) {
+        limitedShare_ = static_cast<double>(limit()) / settings_.slots;
+    } else if (limitedShare_) {
+        pace_.resume(now, *limitedShare_);
+        limitedShare_.reset();
+    }
+}
+
 bool AdmissionController::canStart(int classRank, TimePoint now) const
 {
-    return rateLimit_.canStart(now) && reserve_.canStart(classRank, limit_.value(), now);
+    return rateLimit_.canStart(now) && reserve_.canStart(classRank, usableSlots(), now);
 }
 
 void AdmissionController::recordHoldTime(Millis total)
@@ -215,7 +276,7 @@
 
 void AdmissionController::start(const Ticket &ticket, TimePoint now)
 {
-    running_.emplace(ticket.id, Running{ticket.classRank, now});
+    running_.emplace(ticket.id, Running{ticket.classRank, now, ticket.expectedOwnTime});
     reserve_.started(ticket.classRank, now);
     rateLimit_.recordStart(now);
     peakInFlight_ = std::max(peakInFlight_, running());
@@ -255,6 +316,8 @@
         return;
     }
     reserve_.closeWindow(now);
+    followRateLimit(now);
+    pace_.closeWindow(now);
     limit_.closeWindow(now, peakInFlight_);
     for (int i = 0; i < classCount(); ++i) {
         window_.classes[static_cast<std::size_t>(i)].meanInFlight = reserve_.meanInFlight(i);
--- a/src/admission/admissioncontroller.h
+++ b/src/admission/admissioncontroller.h
@@ -5,11 +5,14 @@
 #include "admission/admissionqueue.h"
 #include "admission/classreserve.h"
 #include "admission/concurrencylimit.h"
+#include "admission/firstrequests.h"
 #include "admission/ratelimit.h"
+#include "admission/startuppace.h"
 #include "admission/ticket.h"
 #include "core/clock.h"
 
 #include <cstddef>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -64,10 +67,12 @@
     /** From now on every arrival is refused as Draining; queued and running tickets finish. */
     void drain();
 
-    /** An unhealthy server gets no work: arrivals and the queued tickets are refused as Unreachable. */
+    /** An unhealthy server gets no work: arrivals and the queued tickets are refused as Unreachable. One that recovers
+     * begins as after a start. */
     Dispatch setServerHealthy(bool healthy);
 
-    /** The backend server process was restarted: the limit begins at half the slots and rises over @p coldStart. */
+    /** The backend server process was restarted and expects to be slow for @p coldStart. The slots that it may use
+     * begin low and rise with its answers. */
     void serverStarted(Millis coldStart = ConcurrencyLimit::kDefaultColdStart);
 
     /** Applies a changed number of slots or classes. Queued and running tickets are kept. */
@@ -89,6 +94,10 @@
     /** Time after which a ticket that is refused as Overloaded now could start, as far as it is known; else 0. */
     Millis retryAfter() const;
 
+    /** How the server got from its latest start to all of its slots, and what its first requests got. */
+    StartupPace &pace();
+    FirstRequests &firstRequests();
+
     int running() const;
     std::size_t queued() const;
     bool draining() const;
@@ -97,9 +106,15 @@
     struct Running {
         int classRank;
         TimePoint start;
+        Millis expectedOwnTime;
     };
 
     int classCount() const;
+    void beginPace(Millis coldStart);
+    int usableSlots() const;
+    Decision refuse(ErrorKind error, TimePoint now);
+    void recordEnd(const Running &ticket, const ServiceSample &sample, TimePoint now);
+    void followRateLimit(TimePoint now);
     bool canStart(int classRank, TimePoint now) const;
     void recordHoldTime(Millis total);
     void start(const Ticket &ticket, TimePoint now);
@@ -112,7 +127,10 @@
     const Clock &clock_;
     AdmissionSettings settings_;
     ConcurrencyLimit limit_;
+    StartupPace pace_;
+    FirstRequests firstRequests_;
     RateLimit rateLimit_;
+    std::optional<double> limitedShare_; ///< Of the slots, which the limit on the rate keeps busy; empty without one.
     Millis holdTime_; ///< Smoothed time for which a ticket runs.
     ClassReserve reserve_;
     AdmissionQueue queue_;
--- a/src/admission/concurrencylimit.cpp
+++ b/src/admission/concurrencylimit.cpp
@@ -9,7 +9,6 @@
 namespace
 {
 
-constexpr Millis kShortestColdStart{1};
 // Own service time above this multiple of its long-term minimum is taken as a sign of overload.
 constexpr double kSlowFactor = 2;
 // Shorter own service times are mostly loopback and scheduling noise, in ms.
@@ -80,9 +79,10 @@
 
 void ConcurrencyLimit::beginColdStart(TimePoint now, Millis length)
 {
-    coldStartedAt_ = now;
-    coldStart_ = std::max(length, kShortestColdStart);
-    limit_ = maxLimit(now);
+    coldUntil_ = now + length;
+    limit_ = slots_;
+    raiseShare_ = kRaiseShare;
+    limitBeforeShed_.reset();
     trial_.reset();
     resetOwnTime(now);
 }
@@ -102,8 +102,8 @@
 
 void ConcurrencyLimit::closeWindow(TimePoint now, int peakInFlight)
 {
-    if (coldStartedAt_ && now - *coldStartedAt_ >= coldStart_) {
-        coldStartedAt_.reset();
+    if (coldUntil_ && now >= *coldUntil_) {
+        coldUntil_.reset();
         resetOwnTime(now);
     }
     if (trial_ && windowStart_ >= trial_->begin) {
@@ -123,7 +123,7 @@
         trial_ = Trial{.limitBefore = limit_};
         startMeasurement(now);
     }
-    limit_ = std::clamp(limit_, minLimit(), maxLimit(now));
+    limit_ = std::clamp<double>(limit_, minLimit(), slots_);
     windowStart_ = now;
 }
 
@@ -132,15 +132,6 @@
     return std::max(1.0, slots_ * kMinLimitShare);
 }
 
-double ConcurrencyLimit::maxLimit(TimePoint now) const
-{
-    if (!coldStartedAt_) {
-        return slots_;
-    }
-    const double warm = std::clamp((now - *coldStartedAt_).value / coldStart_.value, 0.0, 1.0);
-    return std::max(1.0, slots_ * (0.5 + 0.5 * warm));
-}
-
 /**
  * The server accepted only the other requests, so their number is its real limit. Lowers the limit by at most 30% per
  * window.
@@ -172,7 +163,7 @@
 bool ConcurrencyLimit::isOwnTimeSettled(TimePoint now) const
 {
     const Millis settling{std::max(kMinSettling.value, kSettlingOwnTimes * ownTime_)};
-    return !coldStartedAt_ && ownTimeSamples_ >= kMinSamples && now - ownTimeSince_ >= settling;
+    return !coldUntil_ && ownTimeSamples_ >= kMinSamples && now - ownTimeSince_ >= settling;
 }
 
 void ConcurrencyLimit::updateBaseline(TimePoint now)
--- a/src/admission/concurrencylimit.h
+++ b/src/admission/concurrencylimit.h
@@ -27,11 +27,11 @@
 
     void setSlots(int slots);
 
-    /** Time for which a server counts as cold after its start, unless it says how long it will be. */
+    /** Time for which a server is expected to be slow after its start, unless it says how long it will be. */
     static constexpr Millis kDefaultColdStart{10000};
 
-    /** Begins a cold start: half the slots, rising to all of them over @p length. Measured service times are discarded.
-     */
+    /** The server has started and is expected to be slow for @p length. Measured service times are discarded, and those
+     * of this time are not taken as usual. How many slots it may use meanwhile is decided by StartupPace. */
     void beginColdStart(TimePoint now, Millis length = kDefaultColdStart);
 
     /** Records the sample of a request that ended while @p othersInFlight other requests ran. */
@@ -52,7 +52,6 @@
     };
 
     double minLimit() const;
-    double maxLimit(TimePoint now) const;
     void backOffAfterShed(int othersInFlight);
     void smoothOwnTime(TimePoint now);
     bool isOwnTimeSettled(TimePoint now) const;
@@ -66,8 +65,7 @@
     int slots_;
     double limit_;
     double raiseShare_; ///< Part of the slots by which the next window raises the limit.
-    std::optional<TimePoint> coldStartedAt_;
-    Millis coldStart_ = kDefaultColdStart; ///< Length of the cold start.
+    std::optional<TimePoint> coldUntil_;
     std::optional<double> limitBeforeShed_; ///< Set if the server shed load in the open window.
     std::optional<Trial> trial_;
     int failedTrials_ = 0; ///< Consecutive.
--- a/src/admission/ticket.h
+++ b/src/admission/ticket.h
@@ -57,6 +57,7 @@
     Millis waitingForChildren; ///< Part of the total in which at least one child call was outstanding.
     bool serverShed = false; ///< The backend server refused the request because of its load.
     bool failed = false; ///< No complete response: connection lost, deadline exceeded or cancelled.
+    bool isServersFault = false; ///< The backend server failed the request by itself.
 
     /** Time that the server spent on the request itself. */
     Millis ownTime() const
--- a/src/core/logevent.cpp
+++ b/src/core/logevent.cpp
@@ -20,7 +20,7 @@
 namespace
 {
 
-constexpr std::array<LogEventInfo, 31> kEvents{{
+constexpr std::array<LogEventInfo, 33> kEvents{{
     {LogEvent::DaemonStarted, "daemon-started", Severity::Info},
     {LogEvent::DaemonDraining, "daemon-draining", Severity::Info},
     {LogEvent::DaemonStopped, "daemon-stopped", Severity::Info},
@@ -33,6 +33,8 @@
     {LogEvent::SignatureQuarantined, "signature-quarantined", Severity::Error},
     {LogEvent::ServerLimitChanged, "server-limit-changed", Severity::Info, true},
     {LogEvent::ServerNoticeRejected, "server-notice-rejected", Severity::Warning, true},
+    {LogEvent::ServerShareFull, "server-share-full", Severity::Info},
+    {LogEvent::ServerFirstRequests, "server-first-requests", Severity::Info},
     {LogEvent::AdmissionLevelChanged, "admission-level-changed", Severity::Info},
     {LogEvent::AttemptOutcomeUnknown, "attempt-outcome-unknown", Severity::Warning, true},
     {LogEvent::ConnectionSilent, "connection-silent", Severity::Warning, true},
--- a/src/core/logevent.h
+++ b/src/core/logevent.h
@@ -24,6 +24,8 @@
     SignatureQuarantined = 2004,
     ServerLimitChanged = 2005,
     ServerNoticeRejected = 2006,
+    ServerShareFull = 2007,
+    ServerFirstRequests = 2008,
     AdmissionLevelChanged = 2101,
     AttemptOutcomeUnknown = 2201,
     ConnectionSilent = 2202,
--- a/src/daemon/servergateway.cpp
+++ b/src/daemon/servergateway.cpp
@@ -4,6 +4,7 @@
 #include "daemon/attemptquality.h"
 #include "daemon/headernames.h"
 #include "daemon/loadreport.h"
+#include "daemon/startlog.h"
 
 #include <vector>
 
@@ -132,6 +133,7 @@
 void ServerGateway::tick()
 {
     applyDispatch(tables_.admission.with([](AdmissionController &admission) { return admission.tick(); }));
+    logStartProgress(self_.server, tables_);
     logLevelChange(tables_.admission.with([](const AdmissionController &admission) { return admission.level(); }));
 }
 
@@ -317,6 +319,7 @@
         tables_.metrics.recordExecution(sample.ownTime());
     }
 
+    sample.isServersFault = serverFailed(result, summary).value_or(false);
     recordQuality(call, result, sample, summary);
 
     const Dispatch next = tables_.admission.with(
