UsableShare: daemons that send place by what a server reports after its start, not by a clock

Cause: a tenth of the usual load, rising over 10 s at each daemon that sends, whether the server was warm at once or never well; a server below its slots lost every choice of two by its lower headroom until that had expired. Change: one request at a time until a daemon's first response; then servers are drawn in proportion to limit over slots (slots are in the registration), less what fails, and compared by load in proportion to their limits. A reported share is taken to double each 500 ms. A failure domain is left for lack of slots, no longer for the age of its server.

--- a/src/mesh/meshdaemon.cpp
+++ b/src/mesh/meshdaemon.cpp
@@ -286,7 +286,7 @@
         }
         ++serverCount;
         byService[server.service].push_back({name, server.daemon, server.incarnation, server.domain,
-                                             server.state != ServerState::Ready, server.startedAt});
+                                             server.state != ServerState::Ready, server.startedAt, server.slots});
     }
     const auto daemons = static_cast<double>(std::max<std::size_t>(1, serverCount));
     const RetryBudgetSettings &budget = settings.retryBudget;
--- a/src/routing/autotests/placementmodel.h
+++ b/src/routing/autotests/placementmodel.h
@@ -5,6 +5,7 @@
 #include "core/manualclock.h"
 #include "routing/balancer.h"
 
+#include <algorithm>
 #include <cmath>
 #include <deque>
 #include <functional>
@@ -44,6 +45,7 @@
     bool present = true;
     RateLimit rateLimit; ///< That the server names; its daemon reports it as AdmissionController does.
     int running = 0;
+    std::size_t mostWaiting = 0; ///< Longest queue so far.
     std::deque<std::function<void()>> queue;
 };
 
@@ -118,7 +120,7 @@
         }
     };
 
-    /** Longer than the slow start of a new server. */
+    /** Longer than any knowledge of a server lasts. */
     static constexpr Millis kWarmUp{20000};
 
     static FailureDomainName domainOf(int domain)
@@ -196,6 +198,7 @@
             });
         });
         startQueued(index);
+        server.mostWaiting = std::max(server.mostWaiting, server.queue.size());
     }
 
     bool canStart(const ModelServer &server) const
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -12,9 +12,6 @@
 constexpr Millis kHeadroomLifetime{2000};
 // Factor on the score of a server in another failure domain, while the load of the own servers isn't known.
 constexpr double kOtherDomainPenalty = 3;
-constexpr Millis kSlowStart{10000};
-// Share of the usual load that a server gets right after its start.
-constexpr double kInitialWeight = 0.1;
 // Above 0, so that the scores of servers without headroom can still be compared with each other.
 constexpr double kMinimumHeadroom = 0.5;
 /** Bound of the advantage that a server gets from requests that happened to be short. */
@@ -78,7 +75,7 @@
             // The back-off has ended. Picks the server as a probe whatever its score, which would rarely select it.
             return server.name;
         }
-        (server.domain == settings_.domain ? ownDomain : otherDomains).push_back({&server.name, &record});
+        (server.domain == settings_.domain ? ownDomain : otherDomains).push_back(candidateFor(server, record));
     }
     const auto bestOwn = chooseOfTwo(ownDomain);
     const auto bestOther = chooseOfTwo(otherDomains);
@@ -86,7 +83,7 @@
         return tl::make_unexpected(shed ? ErrorKind::Overloaded : ErrorKind::NoServer);
     }
     const bool useOther = !bestOwn || (bestOther && leavesDomain(*bestOwn, *bestOther));
-    return *(useOther ? bestOther : bestOwn)->name;
+    return (useOther ? bestOther : bestOwn)->server->name;
 }
 
 void Balancer::started(const ServerName &name)
@@ -120,6 +117,7 @@
         record->rateLimit = feedback.rateLimit;
     }
     if (feedback.responded) {
+        record->usable.report(feedback.limit, feedback.failingShare, clock_.now());
         record->respondedAt = clock_.now();
         record->connectFailures = 0;
         record->ejected = false;
@@ -225,14 +223,13 @@
 {
     Record record;
     record.inFlight = inFlight(name);
-    record.firstSeenAt = clock_.now();
     record.respondedAt = clock_.now();
     const ServerView *view = servers_.find(name);
     record.serverStartedAt = view ? view->startedAt : 0;
     const auto known = records_.find(name);
     if (known != records_.end() && known->second.serverStartedAt == record.serverStartedAt) {
-        // Only the daemon was restarted, so the server is as warm as before.
-        record.firstSeenAt = known->second.firstSeenAt;
+        // Only the daemon was restarted, so the server takes as much as before.
+        record.usable = known->second.usable;
         record.rateLimit = known->second.rateLimit;
     }
     records_.insert_or_assign(name, record);
@@ -266,26 +263,40 @@
     return record.headroom && clock_.now() - record.headroomAt < kHeadroomLifetime;
 }
 
-double Balancer::score(const Record &record, bool useHeadroom) const
+Balancer::Candidate Balancer::candidateFor(const ServerView &server, const Record &record) const
 {
-    const double headroom = useHeadroom ? std::max<double>(*record.headroom, kMinimumHeadroom) : 1;
-    const double quality = useHeadroom ? (1 - record.failingShare) / record.slowdown : 1;
-    return (record.inFlight + 1) / (headroom * warmth(record) * std::max(quality, kMinimumQuality));
+    if (record.rateLimit) {
+        // Its limit says how many requests the rate keeps busy, and not how many may use the slots at once.
+        return {&server, &record, 1, std::nullopt};
+    }
+    const double share = record.usable.value(server.slots, record.inFlight, clock_.now());
+    return {&server, &record, share, record.usable.limit()};
 }
 
-/** Share of the usual load for a server, which rises during the slow start. */
-double Balancer::warmth(const Record &record) const
+/**
+ * Load of a candidate. Its requests in flight and its headroom count in proportion to its limit, of which @p perLimit
+ * is the one to compare with, so that servers with unlike limits are filled alike.
+ */
+double Balancer::score(const Candidate &candidate, bool useHeadroom, double perLimit) const
 {
-    const double age = std::clamp((clock_.now() - record.firstSeenAt).value / kSlowStart.value, 0.0, 1.0);
-    return std::max(kInitialWeight, age);
+    const Record &record = *candidate.record;
+    if (!useHeadroom) {
+        return (record.inFlight + 1) / candidate.usableShare;
+    }
+    const double headroom = std::max<double>(*record.headroom, kMinimumHeadroom);
+    const double quality = std::max((1 - record.failingShare) / record.slowdown, kMinimumQuality);
+    const double scale = perLimit > 0 ? perLimit / std::max(candidate.limit.value_or(1), 1) : 1;
+    return (record.inFlight * scale + 1) / (headroom * scale * quality);
 }
 
-ServerCondition Balancer::condition(const Record &record) const
+ServerCondition Balancer::condition(const Candidate &candidate) const
 {
+    const Record &record = *candidate.record;
     if (!hasCurrentHeadroom(record)) {
-        return {.warmth = warmth(record)};
+        // A server that has yet to respond to its first request counts as full.
+        return {.busyShare = record.usable.isKnown() || record.inFlight == 0 ? 0.0 : 1.0};
     }
-    return {record.busyShare, warmth(record), record.slowdown, record.failingShare};
+    return {record.busyShare, record.slowdown, record.failingShare};
 }
 
 bool Balancer::leavesDomain(const Candidate &own, const Candidate &other)
@@ -293,7 +304,7 @@
     if (!hasCurrentHeadroom(*own.record)) {
         return isBetter(other, kOtherDomainPenalty, own);
     }
-    return random_.fraction() < otherDomainShare(condition(*own.record), condition(*other.record));
+    return random_.fraction() < otherDomainShare(condition(own), condition(other));
 }
 
 /** Whether @p a has a lower score than @p b when its score is multiplied by @p penalty. */
@@ -301,9 +312,11 @@
 {
     // Headroom is used only if it is known for both servers, as there is no default value to compare it with.
     const bool useHeadroom = hasCurrentHeadroom(*a.record) && hasCurrentHeadroom(*b.record);
-    return score(*a.record, useHeadroom) * penalty < score(*b.record, useHeadroom);
+    const double perLimit = a.limit && b.limit ? std::max(*a.limit, *b.limit) : 0;
+    return score(a, useHeadroom, perLimit) * penalty < score(b, useHeadroom, perLimit);
 }
 
+/** The better one of two, drawn in proportion to what they may use. */
 std::optional<Balancer::Candidate> Balancer::chooseOfTwo(const std::vector<Candidate> &candidates)
 {
     if (candidates.empty()) {
@@ -312,9 +325,30 @@
     if (candidates.size() == 1) {
         return candidates.front();
     }
-    const std::size_t first = random_.below(candidates.size());
-    const std::size_t other = (first + 1 + random_.below(candidates.size() - 1)) % candidates.size();
+    const std::size_t first = drawByShare(candidates, std::nullopt);
+    const std::size_t other = drawByShare(candidates, first);
     return isBetter(candidates[other], 1, candidates[first]) ? candidates[other] : candidates[first];
 }
 
+std::size_t Balancer::drawByShare(const std::vector<Candidate> &candidates, std::optional<std::size_t> except)
+{
+    double total = 0;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        total += i == except ? 0 : candidates[i].usableShare;
+    }
+    double left = random_.fraction() * total;
+    std::size_t drawn = 0;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (i == except) {
+            continue;
+        }
+        drawn = i;
+        left -= candidates[i].usableShare;
+        if (left < 0) {
+            break;
+        }
+    }
+    return drawn;
+}
+
 } // namespace Hibiscus
--- a/src/routing/balancer.h
+++ b/src/routing/balancer.h
@@ -8,6 +8,7 @@
 #include "routing/levelmap.h"
 #include "routing/serverset.h"
 #include "routing/subsetselector.h"
+#include "routing/usableshare.h"
 
 #include <map>
 #include <optional>
@@ -77,8 +78,8 @@
     struct Record {
         int inFlight = 0;
         std::int64_t serverStartedAt = 0;
-        TimePoint firstSeenAt; ///< When this process of the server was first seen.
-        TimePoint respondedAt; ///< Time of the last response; firstSeenAt until there is one.
+        TimePoint respondedAt; ///< Time of the last response; when it was first seen until there is one.
+        UsableShare usable; ///< Of this process of the server.
         std::optional<int> headroom;
         double busyShare = 0; ///< Of the limit reported along with the headroom.
         double slowdown = 1; ///< Reported along with the headroom.
@@ -93,20 +94,23 @@
     };
 
     struct Candidate {
-        const ServerName *name;
+        const ServerView *server;
         const Record *record;
+        double usableShare; ///< Of the server's slots, from above 0 to 1.
+        std::optional<int> limit; ///< As reported; empty if unknown or if the rate of the server is limited.
     };
 
     void reset(const ServerName &name);
     Record *release(const ServerName &name);
     bool mayBeTried(const Record &record) const;
     bool hasCurrentHeadroom(const Record &record) const;
-    double score(const Record &record, bool useHeadroom) const;
-    double warmth(const Record &record) const;
-    ServerCondition condition(const Record &record) const;
+    Candidate candidateFor(const ServerView &server, const Record &record) const;
+    double score(const Candidate &candidate, bool useHeadroom, double perLimit) const;
+    ServerCondition condition(const Candidate &candidate) const;
     bool isBetter(const Candidate &a, double penalty, const Candidate &b) const;
     bool leavesDomain(const Candidate &own, const Candidate &other);
     std::optional<Candidate> chooseOfTwo(const std::vector<Candidate> &candidates);
+    std::size_t drawByShare(const std::vector<Candidate> &candidates, std::optional<std::size_t> except);
 
     BalancerSettings settings_;
     const Clock &clock_;
--- a/src/routing/domainspill.cpp
+++ b/src/routing/domainspill.cpp
@@ -35,11 +35,6 @@
         * ramp(own.busyShare - other.busyShare, 0, kFullBusyDifference);
 }
 
-double shareForWarmth(const ServerCondition &own, const ServerCondition &other)
-{
-    return std::clamp(1 - own.warmth / other.warmth, 0.0, 1.0);
-}
-
 double shareForQuality(const ServerCondition &own, const ServerCondition &other)
 {
     const double slow = ramp(own.slowdown / other.slowdown, kNoticeableSlowness, kFullSlowness);
@@ -51,7 +46,7 @@
 
 double otherDomainShare(const ServerCondition &own, const ServerCondition &other)
 {
-    return std::max({shareForSlots(own, other), shareForWarmth(own, other), shareForQuality(own, other)});
+    return std::max(shareForSlots(own, other), shareForQuality(own, other));
 }
 
 } // namespace Hibiscus
--- a/src/routing/serverview.h
+++ b/src/routing/serverview.h
@@ -19,6 +19,7 @@
     FailureDomainName domain;
     bool draining = false;
     std::int64_t startedAt = 0; ///< Start of the server's process, which outlasts restarts of its daemon.
+    int slots = 0; ///< Requests that it can run at a time; 0 if unknown.
 
     friend bool operator==(const ServerView &, const ServerView &) = default;
 };
