--- a/src/routing/autotests/balancertest.cpp
+++ b/src/routing/autotests/balancertest.cpp
@@ -346,6 +346,22 @@
     CHECK(load() >= 35);
 }
 
+TEST_CASE("Balancer: daemons that have nothing in flight choose in proportion to the reported shares, too")
+{
+    // Guards against many daemons that each send little and together fill a server at an eighth of its slots.
+    Fixture fixture(3);
+    for (ServerView &view : fixture.views) {
+        view.slots = 64;
+    }
+    fixture.balancer.update(fixture.views);
+    fixture.attempt(0, {.level = {}, .headroom = 64, .limit = 64});
+    fixture.attempt(1, {.level = {}, .headroom = 64, .limit = 64});
+    fixture.attempt(2, {.level = {}, .headroom = 8, .limit = 8});
+    const std::vector<int> picks = fixture.picks(1360);
+    CHECK(picks[2] >= 60);
+    CHECK(picks[2] <= 100);
+}
+
 TEST_CASE("Balancer: while the own domain's server has yet to respond, the others take what it doesn't get")
 {
     // Guards against requests that queue at a server that has just started, beside free servers elsewhere.
