--- a/src/core/logevent.cpp
+++ b/src/core/logevent.cpp
@@ -33,6 +33,8 @@
     {LogEvent::SignatureQuarantined, "signature-quarantined", Severity::Error},
     {LogEvent::ServerLimitChanged, "server-limit-changed", Severity::Info, true},
     {LogEvent::ServerNoticeRejected, "server-notice-rejected", Severity::Warning, true},
+    {LogEvent::ServerShareFull, "server-share-full", Severity::Info},
+    {LogEvent::ServerFirstRequests, "server-first-requests", Severity::Info},
     {LogEvent::AdmissionLevelChanged, "admission-level-changed", Severity::Info},
     {LogEvent::AttemptOutcomeUnknown, "attempt-outcome-unknown", Severity::Warning, true},
     {LogEvent::ConnectionSilent, "connection-silent", Severity::Warning, true},
