RequestParser: a body of known length leaves no holes in memory

Cause: with the default bounds a daemon under 200 bodies that stop short of their end peaked at 116 MB at the peers listener, of 120 MB allowed: bodies grew by doubling on the heap up to 64 KiB, and their freed pieces stayed resident beside the mapped ones.

Change: such a body gets memory for up to 1 MiB at its first byte, and for all of it beyond; pages without a byte aren't used. From 128 KiB on freed memory goes back at once.

--- a/src/apps/hibiscusd/main.cpp
+++ b/src/apps/hibiscusd/main.cpp
@@ -28,7 +28,7 @@
 
 /** From this size on, memory that is freed goes back to the system at once. Without a fixed threshold the allocator
  * raises it with the size of the bodies, and holes in its heap keep the process at a multiple of what it holds. */
-constexpr int kMappedBytes = 256 * 1024;
+constexpr int kMappedBytes = 128 * 1024;
 
 volatile std::sig_atomic_t stopSignals = 0;
 
--- a/src/http/requestparser.cpp
+++ b/src/http/requestparser.cpp
@@ -1,5 +1,6 @@
 #include "http/requestparser.h"
 
+#include <algorithm>
 #include <climits>
 #include <utility>
 
@@ -16,9 +17,9 @@
 constexpr std::size_t kFieldSeparatorBytes = 2;
 /** Memory of a parsed field besides its text, with the growth of the list. */
 constexpr std::size_t kFieldBytes = sizeof(HttpHeaders::Field) * 3 / 2;
-/** From these sizes on a body gets all its memory at once, so that it isn't copied while it grows. */
-constexpr std::size_t kLargeDeclaredBytes = 64U << 10U;
-constexpr std::size_t kLargeChunkedBytes = 1U << 20U;
+/** A body of known size gets memory for so much of it at its first byte. From this size on, each body gets all its
+ * memory at once, so that it isn't copied while it grows. */
+constexpr std::size_t kLargeBodyBytes = 1U << 20U;
 
 RequestParser *self(http_parser *parser)
 {
@@ -137,12 +138,14 @@
     return countHeaderBytes(kFieldSeparatorBytes);
 }
 
-/** Gives a large body the memory for its whole size. Until then it holds no more than was received. */
-void RequestParser::reserveBody()
+/** Gives the body memory for @p size more bytes. Memory that nothing was written to isn't used. */
+void RequestParser::reserveBody(std::size_t size)
 {
-    const bool isDeclared = declaredBodyBytes_ > 0;
-    const std::size_t wanted = isDeclared ? declaredBodyBytes_ : limits_.bodyBytes;
-    if (body_.size() >= (isDeclared ? kLargeDeclaredBytes : kLargeChunkedBytes) && body_.capacity() < wanted) {
+    const bool isLarge = body_.size() + size > kLargeBodyBytes;
+    const std::size_t unknown = isLarge ? limits_.bodyBytes : 0;
+    const std::size_t known = isLarge ? declaredBodyBytes_ : std::min(declaredBodyBytes_, kLargeBodyBytes);
+    const std::size_t wanted = declaredBodyBytes_ > 0 ? known : unknown;
+    if (body_.capacity() < wanted) {
         body_.reserve(wanted);
     }
 }
@@ -214,7 +217,7 @@
     if (that->body_.size() + size > that->limits_.bodyBytes) {
         return that->fail(kStatusTooLarge);
     }
-    that->reserveBody();
+    that->reserveBody(size);
     that->body_.append(data, size);
     return 0;
 }
--- a/src/http/requestparser.h
+++ b/src/http/requestparser.h
@@ -65,7 +65,7 @@
 
     bool countHeaderBytes(std::size_t size);
     bool flushHeader();
-    void reserveBody();
+    void reserveBody(std::size_t size);
     int fail(int status);
 
     http_parser parser_{};
