AllotmentService test: a stalled test is repeated, and sends no burst beyond the allotment

Cause: seen failing 2 times in 4 at a load average of 27 on 7 cores (refused 4, 15 and 17 requests), and once since a fixed port was taken. After a stall the test sent all that it had not sent in time, which is a burst beyond the allotment, and its nodes, which run in the same loop, had not answered in time either. Ruled out: fewer requests, or some refused ones allowed, which would hide a fault. Change: what could not be sent in time is not sent; the calm case is repeated with new nodes if the test got no processor time for 60 ms while it sent, 8 times at most, and fails then. The checks are as before. Ports come from nextAddress().

--- a/src/mesh/autotests/allotmentservicetest.cpp
+++ b/src/mesh/autotests/allotmentservicetest.cpp
@@ -19,12 +19,6 @@
 constexpr Allotment kAllotment{RequestRate{200}, 40};
 const TeamName kTeam("pine");
 
-int nextAllotmentPort()
-{
-    static int port = 25600;
-    return port++;
-}
-
 /** The part of a daemon that deals with allotments, with sockets and an event loop of its own. */
 class Node
 {
@@ -58,6 +52,8 @@
     HttpServer server_;
 };
 
+constexpr Millis kLongestStall{60};
+
 /** Nodes that know each other, of which each runs while the test waits. */
 class Nodes
 {
@@ -65,7 +61,7 @@
     explicit Nodes(std::size_t count)
     {
         for (std::size_t i = 0; i < count; ++i) {
-            nodes.push_back(std::make_unique<Node>("127.0.0.1:" + std::to_string(nextAllotmentPort())));
+            nodes.push_back(std::make_unique<Node>(nextAddress().value()));
         }
         share();
     }
@@ -113,6 +109,11 @@
     {
         TimePoint next = clock.now();
         for (const TimePoint end = next + duration; clock.now() < end;) {
+            if (clock.now() - next > kLongestStall) {
+                // Requests that the test could not send in time would be a burst beyond the allotment.
+                next = clock.now();
+                hasStalled = hasStalled || rate.perSecond > 0;
+            }
             for (; rate.perSecond > 0 && next <= clock.now(); next = next + Millis{1000 / rate.perSecond}) {
                 for (const std::size_t sender : senders) {
                     if (!nodes[sender]->isFrozen) {
@@ -146,6 +147,7 @@
     SteadyClock clock;
     std::vector<std::unique_ptr<Node>> nodes;
     std::vector<TimePoint> times; ///< Of admitted requests.
+    bool hasStalled = false; ///< The test itself got no processor time for a while, so the nodes neither.
 };
 
 /** Requests that the users' rule allows in a time. */
@@ -175,15 +177,23 @@
 
 TEST_CASE("AllotmentService: requests within the allotment are admitted from the first on, wherever they arrive")
 {
-    Nodes nodes(3);
-    nodes.run(kLeadTime, kNone, {});
-    nodes.run(Millis{1500}, RequestRate{50}, {0, 1, 2});
-    for (const auto &node : nodes.nodes) {
+    constexpr int kMostTries = 8; // On a busy machine, since only nodes that run answer in time.
+    auto nodes = std::make_unique<Nodes>(3);
+    for (int tries = 1; tries <= kMostTries; ++tries) {
+        nodes->run(kLeadTime, kNone, {});
+        nodes->run(Millis{1500}, RequestRate{50}, {0, 1, 2});
+        if (!nodes->hasStalled) {
+            break;
+        }
+        REQUIRE(tries < kMostTries);
+        nodes = std::make_unique<Nodes>(3);
+    }
+    for (const auto &node : nodes->nodes) {
         CHECK(node->refused == 0);
         CHECK(node->unknown == 0);
         CHECK(node->admitted >= 70);
     }
-    CHECK(nodes.nodes[0]->service.exposition().find("hibiscus_team_requests_total{team=\"pine\",result=\"admitted\"}")
+    CHECK(nodes->nodes[0]->service.exposition().find("hibiscus_team_requests_total{team=\"pine\",result=\"admitted\"}")
           != std::string::npos);
 }
 
@@ -197,7 +207,7 @@
     nodes.run(Millis{2000}, RequestRate{300}, senders);
     const std::string address = nodes.nodes[lender]->self.peers.value();
     nodes.nodes[lender].reset();
-    nodes.nodes[lender] = std::make_unique<Node>("127.0.0.1:" + std::to_string(nextAllotmentPort()));
+    nodes.nodes[lender] = std::make_unique<Node>(nextAddress().value());
     nodes.nodes[lender]->isFrozen = true;
     const std::size_t before = nodes.times.size();
     nodes.run(Millis{2500}, RequestRate{300}, senders);
