--- a/tools/backend_standin/backendrequest.cpp
+++ b/tools/backend_standin/backendrequest.cpp
@@ -153,7 +153,7 @@
 void BackendRequest::complete(const std::vector<std::string> &children)
 {
     ++core_.counters.completed;
-    std::string body = makeResponseBody(metadata_.tag, request_.body, children, core_.settings.paddingBytes);
+    std::string body = makeResponseBody(metadata_.tag, request_.body.text(), children, core_.settings.paddingBytes);
     responseHeaders_.add(kDigestHeader, responseDigest(body));
     sendResponse(200, std::move(body));
 }
--- a/tools/backend_standin/backendserver.cpp
+++ b/tools/backend_standin/backendserver.cpp
@@ -156,7 +156,7 @@
     } else if (request.method == "GET" && request.target == "/executions") {
         respond({200, {}, executions()});
     } else if (request.method == "POST" && request.target == "/faults") {
-        const std::string error = applyFaults(request.body);
+        const std::string error = applyFaults(request.body.text());
         respond({error.empty() ? 200 : 400, {}, error + "\n"});
     } else {
         return false;
