--- a/src/mesh/allotmentservice.cpp
+++ b/src/mesh/allotmentservice.cpp
@@ -126,7 +126,7 @@
 
 void AllotmentService::handle(HttpRequest request, HttpResponder respond)
 {
-    const auto message = parseAllotmentRequest(request.body);
+    const auto message = parseAllotmentRequest(request.body.text());
     if (!message) {
         respond({kStatusBadRequest, {}, ""});
         return;
--- a/src/mesh/directoryroutes.cpp
+++ b/src/mesh/directoryroutes.cpp
@@ -28,7 +28,7 @@
         }
         ++serverCount;
         byService[server.service].push_back({name, server.daemon, server.incarnation, server.domain,
-                                             server.state != ServerState::Ready, server.startedAt});
+                                             server.state != ServerState::Ready, server.startedAt, server.slots});
     }
     const auto daemons = static_cast<double>(std::max<std::size_t>(1, serverCount));
     table.update(byService);
