Planned stop: a daemon isn't idle while a response has not been sent

Cause: a call counted as ended when its response was handed to the connection, so a daemon that had no other work ended with the rest of the response in its own memory. Ruled out: the end of the grace period (2 s were left), and the kernel's buffer (what was written to it does arrive). A client that stops reading delays the end until the grace period is nearly over, as a long request does.

--- a/src/mesh/meshdaemon.cpp
+++ b/src/mesh/meshdaemon.cpp
@@ -58,6 +58,7 @@
     Millis coldLeft() const;
     void configureAdmission();
     bool isReady() const;
+    bool isIdle() const;
     DrainSequence::Steps drainSteps();
     void stop();
 
@@ -300,6 +301,14 @@
     return configuration.routes() != nullptr && deployment.hasDirectory() && !drainSequence.hasBegun();
 }
 
+/** Whether nothing is in progress; a response is, until its client has been sent all of it. */
+bool MeshDaemon::Private::isIdle() const
+{
+    const HeldBytes held = clientBudget.held();
+    const bool isWriting = held.queued + held.unread > 0;
+    return !isWriting && gateway.inFlight() + calls.activeCalls() + client.unfinishedUploads() == 0;
+}
+
 DrainSequence::Steps MeshDaemon::Private::drainSteps()
 {
     return {[this] {
@@ -314,8 +323,7 @@
                 // The peers listener stays open, since other daemons query the outcome of their attempts until the end.
                 listeners.close(kCallers);
             },
-            [this] { return gateway.inFlight() + calls.activeCalls() + client.unfinishedUploads() == 0; },
-            [this] { context.stop(); }};
+            [this] { return isIdle(); }, [this] { context.stop(); }};
 }
 
 void MeshDaemon::Private::stop()
