A reset during an upload no longer completes a response without a length

Callers saw: a server that answered a long upload at once with a 200 (or a failure) without a length, sent a part of the body and reset the connection had that part passed on as its complete response. Cause: the system reports a reset to a socket once. If the write of the upload got it, the next read met an end of file, and an end of file completes a response without a length. Ruled out: the parser, which got the same bytes and the same end as of an orderly close; a GET or a short upload, where reading learns of the reset. Change: HttpExchange remembers that a write failed. An end of file after it ends a response only if the write failed with a broken pipe: the system reports that for a reset that came after the server's end of its stream. So a server that ends its response in an orderly way and closes without reading the rest is still understood. Evidence: the new test of test_http holds the client still while the server responds and resets, so that writing always learns of it first. The test of the orderly end fails if every failed write makes the end unknown.

--- a/src/http/autotests/earlyresponsetest.cpp
+++ b/src/http/autotests/earlyresponsetest.cpp
@@ -1,6 +1,12 @@
 #include "http/autotests/uploadserver.h"
 #include "http/httpclient.h"
 
+#include <atomic>
+#include <functional>
+#include <string>
+#include <thread>
+#include <utility>
+
 #include <doctest/doctest.h>
 
 using namespace Hibiscus;
@@ -33,6 +39,91 @@
     }
 };
 
+/** How a server ends a connection on which it has read only a part of the request. */
+enum class ConnectionEnd {
+    Reset, ///< The client can't know whether all of a response without a length has arrived.
+    OrderlyThenReset, ///< The client has the end of the response; closing with unread input then resets the connection.
+};
+
+/** Server that has the head of a request, reads nothing of the body, and once it is released sends fixed bytes and ends
+ * the connection. */
+class EndingServer
+{
+public:
+    EndingServer(std::string response, ConnectionEnd end)
+        : response_(std::move(response))
+        , end_(end)
+        , acceptor_(context_, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+        , thread_([this] { serve(); })
+    {
+    }
+    ~EndingServer()
+    {
+        thread_.join();
+    }
+
+    HostAddress address() const
+    {
+        return formatEndpoint(acceptor_.local_endpoint());
+    }
+
+    std::atomic<bool> hasHead{false};
+    std::atomic<bool> released{false};
+    std::atomic<bool> hasEnded{false};
+
+private:
+    void serve()
+    {
+        asio::ip::tcp::socket socket(context_);
+        acceptor_.accept(socket);
+        std::string input;
+        asio::read_until(socket, asio::dynamic_buffer(input), "\r\n\r\n");
+        hasHead = true;
+        while (!released) {
+            std::this_thread::yield();
+        }
+        asio::write(socket, asio::buffer(response_));
+        asio::error_code ignored;
+        if (end_ == ConnectionEnd::OrderlyThenReset) {
+            socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        }
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        socket.close(ignored);
+        hasEnded = true;
+    }
+
+    std::string response_;
+    ConnectionEnd end_;
+    asio::io_context context_;
+    asio::ip::tcp::acceptor acceptor_;
+    std::thread thread_;
+};
+
+/** Result of a long upload whose client does nothing from the moment the server responds until the connection has
+ * ended, so that it meets the end of the connection while it writes. */
+HttpResult uploadTo(EndingServer &server)
+{
+    asio::io_context context;
+    HttpClient client(context);
+    HttpResult result = tl::unexpected(TransportError::ConnectFailed);
+    bool hasResult = false;
+    client.send(server.address(), {"POST", "/upload", {}, std::string(kLargeBodyBytes, 'b')}, {},
+                [&](HttpResult received) {
+                    result = std::move(received);
+                    hasResult = true;
+                });
+    while (!server.hasHead) {
+        context.poll_one();
+    }
+    server.released = true;
+    while (!server.hasEnded) {
+        std::this_thread::yield();
+    }
+    CHECK_FALSE(hasResult);
+    context.run();
+    return result;
+}
+
 HttpCallOptions optionsFor(RequestStart start, Millis responseTimeout = kNeverReached)
 {
     HttpCallOptions options;
@@ -124,3 +215,36 @@
     CHECK(client.result->body == "done");
     CHECK(server.runs == 1);
 }
+
+TEST_CASE("HttpClient: a response without a length that a reset cuts off during an upload is not a complete one")
+{
+    // Guards against a part of a response that a client gets as the whole: a reset is reported once, and if writing
+    // learns of it, reading meets an end of file.
+    for (const std::string status : {"200 OK", "500 Internal Server Error"}) {
+        CAPTURE(status);
+        EndingServer server("HTTP/1.1 " + status + "\r\n\r\npart", ConnectionEnd::Reset);
+        const HttpResult result = uploadTo(server);
+        REQUIRE_FALSE(result.has_value());
+        CHECK(result.error() == TransportError::Lost);
+    }
+}
+
+TEST_CASE("HttpClient: a response without a length that ends in an orderly way during an upload is complete")
+{
+    // Guards against the refusal of a whole response because the server then closes without reading the rest.
+    for (const std::string version : {"HTTP/1.1", "HTTP/1.0"}) {
+        CAPTURE(version);
+        EndingServer server(version + " 200 OK\r\n\r\nwhole", ConnectionEnd::OrderlyThenReset);
+        const HttpResult result = uploadTo(server);
+        REQUIRE(result.has_value());
+        CHECK(result->body == "whole");
+    }
+}
+
+TEST_CASE("HttpClient: a response with a length that is whole before a reset is complete")
+{
+    EndingServer server("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", ConnectionEnd::Reset);
+    const HttpResult result = uploadTo(server);
+    REQUIRE(result.has_value());
+    CHECK(result->body == "whole");
+}
--- a/src/http/httpexchange.cpp
+++ b/src/http/httpexchange.cpp
@@ -165,10 +165,7 @@
     const std::size_t size = socket_.write_some(unwritten(), error);
     progress_.endWrite(error ? 0 : size);
     if (error && error != asio::error::would_block) {
-        // A response that came before the failure can still be read; if there is none, reading fails as well.
-        if (uploading_) {
-            close();
-        }
+        onWriteFailed(error);
         return;
     }
     if (progress_.isComplete()) {
@@ -186,6 +183,17 @@
                        }));
 }
 
+/** A response that came before the failure can still be read; if there is none, reading fails as well. */
+void HttpExchange::onWriteFailed(const asio::error_code &error)
+{
+    // The system reports a reset once, so reading may meet an end of file in its place. A reset after the server had
+    // ended its response is reported as a broken pipe.
+    endIsKnown_ = error == asio::error::broken_pipe;
+    if (uploading_) {
+        close();
+    }
+}
+
 std::size_t HttpExchange::messageBytes() const
 {
     return head_.size() + body_.size();
@@ -224,7 +232,7 @@
         error ? onReadEnd() : discard(std::string_view(buffer.data(), size));
         return;
     }
-    if (error == asio::error::eof && hasReceivedBytes_) {
+    if (error == asio::error::eof && hasReceivedBytes_ && endIsKnown_) {
         finishParsing(parser_->finish());
         return;
     }
--- a/src/http/httpexchange.h
+++ b/src/http/httpexchange.h
@@ -45,6 +45,7 @@
     void connect();
     void write();
     void writeSome();
+    void onWriteFailed(const asio::error_code &error);
     void read();
     void readSome();
     void feed(std::string_view bytes);
@@ -94,6 +95,7 @@
     int droppedResponses_ = 0; ///< Responses to earlier requests.
     bool connected_ = false;
     bool hasReceivedBytes_ = false;
+    bool endIsKnown_ = true; ///< An end of file is that of the server, not what is left of a reset.
     bool uploading_ = false; ///< The response is complete, and the rest of the request is still being written.
     bool readEnded_ = false; ///< While uploading: the server sends nothing more.
     bool closed_ = false;
