A response with a line in its head that is no header field is refused

Callers saw: a field whose name held a blank, or a blank before its colon, was passed on as it came; a folded line was glued to the value before it without a blank. Behind two daemons "Content-Length : 4" got the caller nothing until the deadline (504), since the second daemon read two lengths. Cause: http-parser is packaged without its strict mode and takes a space for a part of a name. RequestParser has a check of its own for this, ResponseParser had none. Ruled out: control bytes and other characters in a name, control bytes in a value, a carriage return within a line, lines without a colon or a name: these were refused before; their tests stay. Change: headsyntax says what a field line is (RFC 9112, section 5), and both parsers use it. Folded lines are refused, as the RFC allows (section 5.2). Evidence: 6 of the 22 forms in the new table were read as fields before, at nearly every split; now each is refused at every split.

--- a/src/http/autotests/responsesyntaxtest.cpp
+++ b/src/http/autotests/responsesyntaxtest.cpp
@@ -118,3 +118,60 @@
     checkAccepted("HTTP/1.1 599 \r\nContent-Length: 2\r\n\r\nab", 599, "ab");
     checkAccepted("HTTP/1.1 200 OK\nContent-Length: 2\n\nab", 200, "ab");
 }
+
+TEST_CASE("ResponseParser: a line of the head that is no header field is refused")
+{
+    // Guards against a line that is forwarded to clients that read another field, or a body of another length.
+    const std::string lines[] = {
+        "X Y: 1",
+        "X : 1",
+        "X\t: 1",
+        "Content-Length : 1",
+        "Content Length: 1",
+        "Transfer-Encoding : chunked",
+        "X\x01Y: 1",
+        std::string("X\0Y: 1", 6),
+        "X\x7f: 1",
+        "X\xc3\xa4: 1",
+        "X\rY: 1",
+        "X(Y): 1",
+        ": 1",
+        "no colon",
+        " folded: 1",
+        " folded",
+        "\tfolded",
+        "X: a\rb",
+        std::string("X: a\0b", 6),
+        "X: a\x01",
+        "X: a\x7f",
+        "X: a\r",
+    };
+    for (const std::string &line : lines) {
+        checkRefused("HTTP/1.1 200 OK\r\nA: b\r\n" + line + "\r\nContent-Length: 2\r\n\r\nab",
+                     ResponseFault::FieldLine);
+        checkRefused("HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 2\r\n\r\nab", ResponseFault::FieldLine);
+    }
+}
+
+TEST_CASE("ResponseParser: header fields of any well-formed name and value are accepted")
+{
+    struct FieldCase {
+        std::string line;
+        std::string name;
+        std::string value;
+    };
+    const FieldCase cases[] = {
+        {"X-Y:1", "X-Y", "1"},
+        {"!#$%&'*+-.^_`|~09az:\t a, \"b\" \tc", "!#$%&'*+-.^_`|~09az", "a, \"b\" \tc"},
+        {"X:", "X", ""},
+        {"X: ", "X", ""},
+        {"X: \xc3\xa4\xff", "X", "\xc3\xa4\xff"},
+        {"X: a:b", "X", "a:b"},
+    };
+    for (const FieldCase &field : cases) {
+        const std::string bytes = "HTTP/1.1 200 OK\r\n" + field.line + "\r\nContent-Length: 2\r\n\r\nab";
+        checkAccepted(bytes, 200, "ab");
+        const HttpResponse response = readInPieces(bytes, 0).response;
+        CHECK(response.headers.find(field.name) == field.value);
+    }
+}
--- a/src/http/requestparser.cpp
+++ b/src/http/requestparser.cpp
@@ -1,5 +1,7 @@
 #include "http/requestparser.h"
 
+#include "http/headsyntax.h"
+
 #include <algorithm>
 #include <climits>
 #include <utility>
@@ -189,8 +191,8 @@
 
 int RequestParser::onHeaderValue(http_parser *parser, const char *data, std::size_t size)
 {
-    if (self(parser)->fieldName_.find_first_of(" \t") != std::string::npos) {
-        // http_parser accepts a space before the colon; other implementations read another field name.
+    if (!isToken(self(parser)->fieldName_)) {
+        // http_parser accepts spaces; other implementations read another field name.
         return self(parser)->fail(kStatusBadRequest);
     }
     self(parser)->inValue_ = true;
--- a/src/http/responsefault.cpp
+++ b/src/http/responsefault.cpp
@@ -8,6 +8,8 @@
     switch (fault) {
     case ResponseFault::StatusLine:
         return "status-line";
+    case ResponseFault::FieldLine:
+        return "field-line";
     case ResponseFault::HeadTooLong:
         return "head-too-long";
     case ResponseFault::Unparsable:
--- a/src/http/responsefault.h
+++ b/src/http/responsefault.h
@@ -11,6 +11,7 @@
 /** Why the bytes that a server sent are no well-formed response (RFC 9112). */
 enum class ResponseFault {
     StatusLine, ///< The first line is no status line of HTTP/1.x, or its status is not in 100 to 599.
+    FieldLine, ///< A line of the head is no header field.
     HeadTooLong,
     Unparsable, ///< Anything else that the parser refuses.
 };
--- a/src/http/responsehead.cpp
+++ b/src/http/responsehead.cpp
@@ -94,7 +94,10 @@
         statusLine_ = parseStatusLine(line);
         return statusLine_ ? ResponseResult<bool>(false) : tl::unexpected(ResponseFault::StatusLine);
     }
-    return line.empty();
+    if (line.empty()) {
+        return true;
+    }
+    return parseFieldLine(line) ? ResponseResult<bool>(false) : tl::unexpected(ResponseFault::FieldLine);
 }
 
 } // namespace Hibiscus
--- a/src/mesh/autotests/brokenresponsetest.cpp
+++ b/src/mesh/autotests/brokenresponsetest.cpp
@@ -49,9 +49,15 @@
     std::string bytes;
 };
 
+constexpr const char *kOk = "HTTP/1.1 200 OK\r\n";
+
 const BrokenResponse kBrokenResponses[] = {
     {"status 000", "HTTP/1.1 000 \r\nContent-Length: 4\r\n\r\npart"},
     {"status 999", "HTTP/1.1 999 High\r\nContent-Length: 4\r\n\r\npart"},
+    {"blank in a field name", kOk + std::string("Trace Id: 1\r\nContent-Length: 4\r\n\r\npart")},
+    {"blank before the colon", kOk + std::string("Content-Length : 4\r\n\r\npart, and more")},
+    {"control byte in a field name", kOk + std::string("Trace\x01Id: 1\r\nContent-Length: 4\r\n\r\npart")},
+    {"folded field", kOk + std::string("Trace: 1\r\n 2\r\nContent-Length: 4\r\n\r\npart")},
 };
 
 } // namespace
