A response with a transfer coding other than chunked is refused

Callers saw: a 200 whose body was still coded (gzip) or held chunk lines, without the field that names the coding: the daemon removes Transfer-Encoding as a field of one connection. Cause: http-parser undoes "chunked" wherever it stands in the list and ignores every other coding, misspelled ones and repeated ones included. Requests of the daemon offer no coding but chunked. Ruled out: a coding beside a length, two lengths, and lengths that are no number: refused before; their tests stay. Change: bodyframing decides from the fields what ends a body (RFC 9112, section 6) and refuses every other statement, also chunks of an HTTP/1.0 server, which the RFC calls faulty framing. The mesh's test has a row for gzip.

--- a/src/http/autotests/responsesyntaxtest.cpp
+++ b/src/http/autotests/responsesyntaxtest.cpp
@@ -175,3 +175,62 @@
         CHECK(response.headers.find(field.name) == field.value);
     }
 }
+
+TEST_CASE("ResponseParser: a transfer coding other than chunked, or one beside a length, is refused")
+{
+    // Guards against a body that reaches clients in a coding whose name the daemon has removed.
+    const std::string lines[] = {
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: gzip",
+        "Transfer-Encoding: identity",
+        "Transfer-Encoding: chunked, chunked",
+        "Transfer-Encoding: chunked, gzip",
+        "Transfer-Encoding: chunked;x=y",
+        "Transfer-Encoding: xchunked",
+        "Transfer-Encoding: chunke",
+        "Transfer-Encoding: \"chunked\"",
+        "Transfer-Encoding:",
+        "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 12",
+        "Content-Length: 12\r\nTransfer-Encoding: chunked",
+    };
+    for (const std::string &line : lines) {
+        checkRefused("HTTP/1.1 200 OK\r\n" + line + "\r\n\r\n2\r\nab\r\n0\r\n\r\n", ResponseFault::Coding);
+    }
+    checkRefused("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", ResponseFault::Coding);
+    checkAccepted("HTTP/1.1 200 OK\r\ntransfer-encoding:\tChunked \r\n\r\n2\r\nab\r\n0\r\n\r\n", 200, "ab");
+}
+
+TEST_CASE("ResponseParser: a length that is no number, or more than one, is refused")
+{
+    const std::string lines[] = {
+        "Content-Length:",
+        "Content-Length: ",
+        "Content-Length: +2",
+        "Content-Length: -2",
+        "Content-Length: 0x2",
+        "Content-Length: 2 2",
+        "Content-Length: 2, 2",
+        "Content-Length: 2,",
+        "Content-Length: two",
+        "Content-Length: 2.0",
+        "Content-Length: 18446744073709551618",
+        "Content-Length: 2\r\nContent-Length: 2",
+        "Content-Length: 2\r\nContent-Length: 1",
+    };
+    for (const std::string &line : lines) {
+        checkRefused("HTTP/1.1 200 OK\r\n" + line + "\r\n\r\nab", ResponseFault::Length);
+    }
+    checkAccepted("HTTP/1.1 200 OK\r\nCONTENT-LENGTH:\t002 \r\n\r\nab", 200, "ab");
+}
+
+TEST_CASE("ResponseParser: a response without a length ends with its connection")
+{
+    for (const std::string head :
+         {"HTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\n", "HTTP/1.1 200 OK\r\nConnection: close\r\n"}) {
+        checkAccepted(head + "\r\nwhole", 200, "whole");
+        checkAccepted(head + "\r\n", 200, "");
+        CHECK_FALSE(readInPieces(head + "\r\nwhole", 0).keepAlive);
+    }
+}
--- a/src/http/responsefault.cpp
+++ b/src/http/responsefault.cpp
@@ -10,6 +10,10 @@
         return "status-line";
     case ResponseFault::FieldLine:
         return "field-line";
+    case ResponseFault::Coding:
+        return "coding";
+    case ResponseFault::Length:
+        return "length";
     case ResponseFault::HeadTooLong:
         return "head-too-long";
     case ResponseFault::Unparsable:
--- a/src/http/responsefault.h
+++ b/src/http/responsefault.h
@@ -12,6 +12,8 @@
 enum class ResponseFault {
     StatusLine, ///< The first line is no status line of HTTP/1.x, or its status is not in 100 to 599.
     FieldLine, ///< A line of the head is no header field.
+    Coding, ///< A transfer coding other than "chunked", or one in addition to a length.
+    Length, ///< A length that is no number, or more than one.
     HeadTooLong,
     Unparsable, ///< Anything else that the parser refuses.
 };
--- a/src/http/responsehead.cpp
+++ b/src/http/responsehead.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace Hibiscus
 {
@@ -94,10 +95,23 @@
         statusLine_ = parseStatusLine(line);
         return statusLine_ ? ResponseResult<bool>(false) : tl::unexpected(ResponseFault::StatusLine);
     }
-    if (line.empty()) {
-        return true;
+    return line.empty() ? complete() : readField(line);
+}
+
+ResponseResult<bool> ResponseHeadReader::readField(std::string_view line)
+{
+    std::optional<HttpHeaders::Field> field = parseFieldLine(line);
+    if (!field) {
+        return tl::unexpected(ResponseFault::FieldLine);
     }
-    return parseFieldLine(line) ? ResponseResult<bool>(false) : tl::unexpected(ResponseFault::FieldLine);
+    headers_.add(std::move(field->first), std::move(field->second));
+    return false;
+}
+
+ResponseResult<bool> ResponseHeadReader::complete()
+{
+    const ResponseResult<BodyFraming> framing = framingOf(headers_, statusLine_->minorVersion);
+    return framing ? ResponseResult<bool>(true) : tl::unexpected(framing.error());
 }
 
 } // namespace Hibiscus
--- a/src/http/responsehead.h
+++ b/src/http/responsehead.h
@@ -1,6 +1,7 @@
 #ifndef HIBISCUS_HTTP_RESPONSEHEAD_H
 #define HIBISCUS_HTTP_RESPONSEHEAD_H
 
+#include "http/bodyframing.h"
 #include "http/linereader.h"
 #include "http/responsefault.h"
 
@@ -29,12 +30,15 @@
 
 private:
     ResponseResult<bool> readLine(std::string_view line);
+    ResponseResult<bool> readField(std::string_view line);
+    ResponseResult<bool> complete();
 
     /** Longest head, in bytes. */
     static constexpr std::size_t kMaximumBytes = 80U << 10U;
 
     LineReader lines_{kMaximumBytes};
     std::optional<StatusLine> statusLine_;
+    HttpHeaders headers_;
 };
 
 } // namespace Hibiscus
--- a/src/mesh/autotests/brokenresponsetest.cpp
+++ b/src/mesh/autotests/brokenresponsetest.cpp
@@ -57,6 +57,8 @@
     {"blank in a field name", kOk + std::string("Trace Id: 1\r\nContent-Length: 4\r\n\r\npart")},
     {"blank before the colon", kOk + std::string("Content-Length : 4\r\n\r\npart, and more")},
     {"control byte in a field name", kOk + std::string("Trace\x01Id: 1\r\nContent-Length: 4\r\n\r\npart")},
+    {"another coding", kOk + std::string("Transfer-Encoding: gzip, chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n")},
+    {"two lengths", kOk + std::string("Content-Length: 4\r\nContent-Length: 2\r\n\r\npart")},
     {"folded field", kOk + std::string("Trace: 1\r\n 2\r\nContent-Length: 4\r\n\r\npart")},
 };
 
