An interim response, 204 and 304 have no body, whatever their heads state

Callers saw: a 304 with the length of what was not modified, which is sound, got them nothing until the deadline, or a 502 if the server closed. The bytes after an interim response or a 204 with a length were read as its body: the response itself. Cause: http-parser looks at the length and the coding before the status (RFC 9112, section 6.3, has the status first). Change: ResponseParser tells it that such a response has no body.

--- a/src/http/autotests/responsesyntaxtest.cpp
+++ b/src/http/autotests/responsesyntaxtest.cpp
@@ -234,3 +234,19 @@
         CHECK_FALSE(readInPieces(head + "\r\nwhole", 0).keepAlive);
     }
 }
+
+TEST_CASE("ResponseParser: an interim response, 204 and 304 have no body, whatever their heads state")
+{
+    // Guards against the next response being read as a body, and against waiting for bytes that never come.
+    for (const std::string status : {"100", "103", "204", "304"}) {
+        for (const std::string framing :
+             {"", "Content-Length: 5\r\n", "Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n"}) {
+            const std::string bytes = "HTTP/1.1 " + status + " \r\n" + framing + "\r\n";
+            checkAccepted(bytes, std::stoi(status), "");
+            CHECK(readInPieces(bytes, 0).keepAlive);
+            ResponseParser parser(kMaximumBodyBytes);
+            CHECK(parser.feed(bytes + "HTTP/1.1 200 OK") == ResponseParser::State::Complete);
+            CHECK(parser.extractTrailingBytes() == "HTTP/1.1 200 OK");
+        }
+    }
+}
--- a/src/http/responseparser.cpp
+++ b/src/http/responseparser.cpp
@@ -9,6 +9,16 @@
 namespace
 {
 
+constexpr int kStatusOk = 200;
+constexpr int kStatusNoContent = 204;
+constexpr int kStatusNotModified = 304;
+
+/** Whether responses of this status have no body, whatever their heads state (RFC 9112, section 6.3). */
+bool hasNoBody(int status)
+{
+    return status < kStatusOk || status == kStatusNoContent || status == kStatusNotModified;
+}
+
 ResponseParser *self(http_parser *parser)
 {
     return static_cast<ResponseParser *>(parser->data);
@@ -138,7 +148,8 @@
 {
     self(parser)->flushHeader();
     self(parser)->response_.status = static_cast<int>(parser->status_code);
-    return 0;
+    // http_parser takes 1 for "the message has no body".
+    return hasNoBody(self(parser)->response_.status) ? 1 : 0;
 }
 
 int ResponseParser::onBody(http_parser *parser, const char *data, std::size_t size)
