--- a/src/http/autotests/uploadserver.h
+++ b/src/http/autotests/uploadserver.h
@@ -28,6 +28,7 @@
     Hold, ///< Reads nothing more until it is released, then reads the rest and responds.
     RespondEarly, ///< Responds, and reads the rest once it is released.
     RespondEarlyAndCrash, ///< Responds, and resets the connection once it is released.
+    RespondInPart, ///< Sends a part of a response without a length, and resets the connection.
 };
 
 /**
@@ -130,11 +131,15 @@
         if (respondsEarly && !respond(socket)) {
             return false;
         }
-        if (behaviour_ != UploadBehaviour::Crash) {
+        if (behaviour_ == UploadBehaviour::RespondInPart) {
+            asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\npart")), error);
+        }
+        const bool crashesAtOnce = behaviour_ == UploadBehaviour::Crash || behaviour_ == UploadBehaviour::RespondInPart;
+        if (!crashesAtOnce) {
             std::unique_lock lock(mutex_);
             changed_.wait(lock, [this] { return released_; });
         }
-        if (behaviour_ == UploadBehaviour::Crash || behaviour_ == UploadBehaviour::RespondEarlyAndCrash) {
+        if (crashesAtOnce || behaviour_ == UploadBehaviour::RespondEarlyAndCrash) {
             socket.set_option(asio::socket_base::linger(true, 0), error);
             socket.close(error);
             return false;
--- a/src/mesh/autotests/uploadtest.cpp
+++ b/src/mesh/autotests/uploadtest.cpp
@@ -53,3 +53,18 @@
     CHECK(mesh.upload("pay", kLargeBodyBytes).status == 200);
     CHECK(first->runs + second->runs == 1);
 }
+
+TEST_CASE("MeshDaemon: a part of a response to an upload, cut off by a reset, is not a response")
+{
+    // Guards against a part of a body that a caller gets as the whole.
+    Mesh mesh;
+    const auto server = addServer(mesh, "upload-1", UploadBehaviour::RespondInPart);
+    mesh.awaitStatus(200);
+    constexpr int kUploads = 5;
+    for (int i = 0; i < kUploads; ++i) {
+        const HttpResponse response = mesh.upload("pay" + std::to_string(i), kLargeBodyBytes);
+        CHECK(response.status == 502);
+        CHECK(response.body.find("part") == std::string::npos);
+    }
+    CHECK(server->runs == kUploads);
+}
