A broken response is named bad-answer, with its reason in the log

Operators and callers saw: a malformed or truncated response ended as "server-crashed", although the interface page promises "bad-answer"; nothing said what was wrong with it. After the deadline it was "deadline-exceeded", which doesn't count as a failure of the server. Change: TransportError::MalformedResponse becomes bad-answer, which counts against the server; it stays an outcome that may have run. The retry policy of the product's own interface treats bad-answer as server-crashed, so that an idempotent request is still tried at another server; the policy of routes did so already. Evidence: the mesh's test checks kind and reason by the request's id for all 16 forms, the upload test "reset". retrypolicytest now covers every error kind (it stopped at "internal").

--- a/src/daemon/servergateway.cpp
+++ b/src/daemon/servergateway.cpp
@@ -226,6 +226,7 @@
     options.otherResponse = [this, pending](const HttpResponse &response) {
         notices_.receiveOther(protocol_.readNotice(response), pending->serverProcess);
     };
+    options.brokenResponse = [pending](ResponseFault fault) { pending->brokenResponse = fault; };
     {
         const std::lock_guard lock(mutex_);
         running_[attempt] = pending;
@@ -325,18 +326,24 @@
     const Dispatch next = tables_.admission.with(
         [&](AdmissionController &admission) { return admission.finished(ticketOf(attempt), sample); });
     if (!result.response) {
-        logEvent(LogEvent::AttemptFailed, "",
-                 {{"request", call.requestId},
-                  {"server", pending->message.server.value()},
-                  {"kind", errorResponseFor(result.response.error()).name},
-                  {"cancelled", pending->cancelled ? 1 : 0},
-                  {"atServerMs", sample.total}});
+        logFailedAttempt(*pending, result.response.error(), sample.total);
     }
     recordOutcome(pending->message, result);
     finish(pending, std::move(result));
     applyDispatch(next);
 }
 
+void ServerGateway::logFailedAttempt(const Pending &pending, ErrorKind kind, Millis atServer) const
+{
+    logEvent(LogEvent::AttemptFailed, "",
+             {{"request", pending.message.call.requestId},
+              {"server", pending.message.server.value()},
+              {"kind", errorResponseFor(kind).name},
+              {"reason", pending.brokenResponse ? responseFaultName(*pending.brokenResponse) : ""},
+              {"cancelled", pending.cancelled ? 1 : 0},
+              {"atServerMs", atServer}});
+}
+
 void ServerGateway::receiveNotice(const PendingPtr &pending, const ServerNotice &notice, const CallResult &result)
 {
     if (result.response || result.response.error() == ErrorKind::ServerRefused) {
@@ -393,8 +400,9 @@
         return ErrorKind::Unreachable;
     case TransportError::TimedOut:
         return ErrorKind::DeadlineExceeded;
-    case TransportError::Lost:
     case TransportError::MalformedResponse:
+        return ErrorKind::BadAnswer;
+    case TransportError::Lost:
         break;
     }
     return clock_.now() >= call.deadline ? ErrorKind::DeadlineExceeded : ErrorKind::ServerCrashed;
--- a/src/daemon/servergateway.h
+++ b/src/daemon/servergateway.h
@@ -60,6 +60,7 @@
         NoticeReceiver::ServerProcess serverProcess = 0; ///< To which the attempt was sent.
         bool isSuspect = false;
         bool cancelled = false;
+        std::optional<ResponseFault> brokenResponse{}; ///< Why the server's bytes are no response.
         /** To the backend server, while the attempt runs there. Weak, since its callback refers to the attempt. */
         std::weak_ptr<HttpCall> connection{};
     };
@@ -80,6 +81,7 @@
     void finish(const PendingPtr &pending, CallResult result);
     PendingPtr removeQueued(AttemptId attempt);
     void logLevelChange(Level level);
+    void logFailedAttempt(const Pending &pending, ErrorKind kind, Millis atServer) const;
     void receiveNotice(const PendingPtr &pending, const ServerNotice &notice, const CallResult &result);
 
     const DaemonIdentity &self_;
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -4,6 +4,7 @@
 #include "core/ids.h"
 #include "core/millis.h"
 #include "http/httpmessage.h"
+#include "http/responsefault.h"
 #include "http/sendprogress.h"
 
 #include <cstddef>
@@ -39,6 +40,8 @@
     std::string echoedField{};
     /** Called with each interim response (1xx) and each response that is dropped because of its echoedField. */
     std::function<void(const HttpResponse &)> otherResponse{};
+    /** Called before the result if there is no response because what the server sent is not a well-formed one. */
+    std::function<void(ResponseFault)> brokenResponse{};
 };
 
 using HttpResult = tl::expected<HttpResponse, TransportError>;
--- a/src/http/httpexchange.cpp
+++ b/src/http/httpexchange.cpp
@@ -232,28 +232,51 @@
         error ? onReadEnd() : discard(std::string_view(buffer.data(), size));
         return;
     }
-    if (error == asio::error::eof && hasReceivedBytes_ && endIsKnown_) {
-        finishParsing(parser_->finish());
-        return;
-    }
     if (error) {
-        fail();
+        onReadFailed(error);
         return;
     }
     hasReceivedBytes_ = true;
     feed(std::string_view(buffer.data(), size));
 }
 
+void HttpExchange::onReadFailed(const asio::error_code &error)
+{
+    if (!hasReceivedBytes_) {
+        fail();
+        return;
+    }
+    if (error == asio::error::eof && endIsKnown_) {
+        parser_->finish();
+        finishParsing();
+        return;
+    }
+    reportBroken(ResponseFault::Reset);
+    fail();
+}
+
+void HttpExchange::failBroken(ResponseFault fault)
+{
+    reportBroken(fault);
+    finish(tl::unexpected(TransportError::MalformedResponse));
+}
+
+void HttpExchange::reportBroken(ResponseFault fault)
+{
+    if (options_.brokenResponse) {
+        options_.brokenResponse(fault);
+    }
+}
+
 void HttpExchange::feed(std::string_view bytes)
 {
-    const ResponseParser::State state = parser_->feed(bytes);
-    if (state != ResponseParser::State::Incomplete) {
-        finishParsing(state);
+    if (parser_->feed(bytes) != ResponseParser::State::Incomplete) {
+        finishParsing();
         return;
     }
     const std::size_t before = std::exchange(accountedBytes_, parser_->bodyBytes());
     if (!pool_->receiveBudget().grow(before, accountedBytes_)) {
-        finish(tl::unexpected(TransportError::MalformedResponse));
+        failBroken(ResponseFault::BodyTooLong);
         return;
     }
     read();
@@ -265,10 +288,10 @@
     return !echoedValue_.empty() && response.headers.find(options_.echoedField).value_or(echoedValue_) != echoedValue_;
 }
 
-void HttpExchange::finishParsing(ResponseParser::State state)
+void HttpExchange::finishParsing()
 {
-    if (state != ResponseParser::State::Complete) {
-        finish(tl::unexpected(TransportError::MalformedResponse));
+    if (const std::optional<ResponseFault> fault = parser_->fault()) {
+        failBroken(*fault);
         return;
     }
     const bool keepAlive = parser_->keepAlive();
@@ -299,7 +322,7 @@
         options_.otherResponse(response);
     }
     if (++droppedResponses_ > kMaximumDroppedResponses) {
-        finish(tl::unexpected(TransportError::MalformedResponse));
+        failBroken(ResponseFault::TooManyResponses);
         return;
     }
     parser_ = std::make_unique<ResponseParser>(options_.maximumBodyBytes);
--- a/src/http/httpexchange.h
+++ b/src/http/httpexchange.h
@@ -49,7 +49,10 @@
     void read();
     void readSome();
     void feed(std::string_view bytes);
-    void finishParsing(ResponseParser::State state);
+    void finishParsing();
+    void onReadFailed(const asio::error_code &error);
+    void failBroken(ResponseFault fault);
+    void reportBroken(ResponseFault fault);
     void receiveOther(const HttpResponse &response, std::string_view trailing);
     bool isForOtherRequest(const HttpResponse &response) const;
     bool isReceived();
--- a/src/http/responsefault.cpp
+++ b/src/http/responsefault.cpp
@@ -26,6 +26,10 @@
         return "body-too-long";
     case ResponseFault::Truncated:
         return "truncated";
+    case ResponseFault::Reset:
+        return "reset";
+    case ResponseFault::TooManyResponses:
+        return "too-many-responses";
     }
     return "unknown";
 }
--- a/src/http/responsefault.h
+++ b/src/http/responsefault.h
@@ -18,8 +18,10 @@
     Length, ///< A length that is no number, or more than one.
     Chunk, ///< The size or the end of a chunk is malformed.
     Trailer, ///< A line after the last chunk is no trailer field.
-    BodyTooLong,
+    BodyTooLong, ///< Longer than a response may be, or than all unfinished responses together.
     Truncated, ///< The connection ended before the response.
+    Reset, ///< The connection was reset before the end of the response.
+    TooManyResponses, ///< More interim or late responses than a client reads.
 };
 
 /** Name of @p fault in the log. */
--- a/src/mesh/autotests/brokenresponsetest.cpp
+++ b/src/mesh/autotests/brokenresponsetest.cpp
@@ -1,6 +1,9 @@
 #include "http/autotests/scriptedserver.h"
+#include "mesh/autotests/loglines.h"
 #include "mesh/autotests/testmesh.h"
 
+#include <string>
+
 using namespace Hibiscus;
 
 namespace
@@ -53,8 +56,14 @@
     }
 }
 
+std::string field(const std::string &name, const std::string &value)
+{
+    return "\"" + name + "\":\"" + value + "\"";
+}
+
 struct BrokenResponse {
-    std::string name;
+    std::string name; ///< Also the id of the request.
+    std::string reason; ///< In the log.
     std::string bytes;
 };
 
@@ -62,23 +71,24 @@
 const std::string kChunked = kOk + "Transfer-Encoding: chunked\r\n\r\n";
 
 const BrokenResponse kBrokenResponses[] = {
-    {"not HTTP", "part of something else\r\n\r\n"},
-    {"status 000", "HTTP/1.1 000 \r\nContent-Length: 4\r\n\r\npart"},
-    {"status 999", "HTTP/1.1 999 High\r\nContent-Length: 4\r\n\r\npart"},
-    {"blank in a field name", kOk + "Trace Id: 1\r\nContent-Length: 4\r\n\r\npart"},
-    {"blank before the colon", kOk + "Content-Length : 4\r\n\r\npart, and more"},
-    {"control byte in a field name", kOk + "Trace\x01Id: 1\r\nContent-Length: 4\r\n\r\npart"},
-    {"folded field", kOk + "Trace: 1\r\n 2\r\nContent-Length: 4\r\n\r\npart"},
-    {"another coding", kOk + "Transfer-Encoding: gzip, chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n"},
-    {"two lengths", kOk + "Content-Length: 4\r\nContent-Length: 2\r\n\r\npart"},
-    {"blank in the size of a chunk", kChunked + "4 \r\npart\r\n0\r\n\r\n"},
-    {"chunk without its end", kChunked + "4\r\npartXX0\r\n\r\n"},
-    {"blank in the name of a trailer field", kChunked + "4\r\npart\r\n0\r\nTrace Id: 1\r\n\r\n"},
-    {"cut short of its length", kOk + "Content-Length: 9\r\n\r\npart"},
-    {"cut within a chunk", kChunked + "9\r\npart"},
-    {"broken after an interim response",
+    {"not HTTP", "status-line", "part of something else\r\n\r\n"},
+    {"status 000", "status-line", "HTTP/1.1 000 \r\nContent-Length: 4\r\n\r\npart"},
+    {"status 999", "status-line", "HTTP/1.1 999 High\r\nContent-Length: 4\r\n\r\npart"},
+    {"blank in a field name", "field-line", kOk + "Trace Id: 1\r\nContent-Length: 4\r\n\r\npart"},
+    {"blank before the colon", "field-line", kOk + "Content-Length : 4\r\n\r\npart, and more"},
+    {"control byte in a field name", "field-line", kOk + "Trace\x01Id: 1\r\nContent-Length: 4\r\n\r\npart"},
+    {"folded field", "field-line", kOk + "Trace: 1\r\n 2\r\nContent-Length: 4\r\n\r\npart"},
+    {"another coding", "coding", kOk + "Transfer-Encoding: gzip, chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n"},
+    {"two lengths", "length", kOk + "Content-Length: 4\r\nContent-Length: 2\r\n\r\npart"},
+    {"blank in the size of a chunk", "chunk", kChunked + "4 \r\npart\r\n0\r\n\r\n"},
+    {"chunk without its end", "chunk", kChunked + "4\r\npartXX0\r\n\r\n"},
+    {"blank in the name of a trailer field", "trailer", kChunked + "4\r\npart\r\n0\r\nTrace Id: 1\r\n\r\n"},
+    {"cut short of its length", "truncated", kOk + "Content-Length: 9\r\n\r\npart"},
+    {"cut within a chunk", "truncated", kChunked + "9\r\npart"},
+    {"broken after an interim response", "status-line",
      "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 \r\nContent-Length: 4\r\n\r\npart"},
-    {"broken interim response", "HTTP/1.1 103 Early Hints\r\nA B: 1\r\n\r\n" + kOk + "Content-Length: 4\r\n\r\npart"},
+    {"broken interim response", "field-line",
+     "HTTP/1.1 103 Early Hints\r\nA B: 1\r\n\r\n" + kOk + "Content-Length: 4\r\n\r\npart"},
 };
 
 /** Sound responses of a server with the body "whole". */
@@ -102,6 +112,8 @@
     ScriptedHost first(mesh, "scripted-1", kSoundResponse);
     ScriptedHost second(mesh, "scripted-2", kSoundResponse);
     awaitBoth(mesh, first, second);
+    LogLines attempts(LogEvent::AttemptFailed);
+    LogLines requests(LogEvent::RequestFailed);
     for (const BrokenResponse &broken : kBrokenResponses) {
         CAPTURE(broken.name);
         first.server.setBytes(broken.bytes);
@@ -111,6 +123,9 @@
         CHECK(response.status == kStatusBadGateway);
         CHECK(response.body.find("part") == std::string::npos);
         CHECK(first.server.runs + second.server.runs - runsBefore == 1);
+        CHECK(attempts.has(field("request", broken.name), field("reason", broken.reason)));
+        CHECK(attempts.has(field("request", broken.name), field("kind", "bad-answer")));
+        CHECK(requests.has(field("request", broken.name), field("kind", "bad-answer")));
     }
     CHECK(first.server.reuses + second.server.reuses == 0);
 }
--- a/src/mesh/autotests/uploadtest.cpp
+++ b/src/mesh/autotests/uploadtest.cpp
@@ -1,4 +1,5 @@
 #include "http/autotests/uploadserver.h"
+#include "mesh/autotests/loglines.h"
 #include "mesh/autotests/testmesh.h"
 
 using namespace Hibiscus;
@@ -60,11 +61,14 @@
     Mesh mesh;
     const auto server = addServer(mesh, "upload-1", UploadBehaviour::RespondInPart);
     mesh.awaitStatus(200);
+    const LogLines attempts(LogEvent::AttemptFailed);
     constexpr int kUploads = 5;
     for (int i = 0; i < kUploads; ++i) {
-        const HttpResponse response = mesh.upload("pay" + std::to_string(i), kLargeBodyBytes);
+        const std::string name = "pay" + std::to_string(i);
+        const HttpResponse response = mesh.upload(name, kLargeBodyBytes);
         CHECK(response.status == 502);
         CHECK(response.body.find("part") == std::string::npos);
+        CHECK(attempts.has("\"" + name + "\"", "\"reason\":\"reset\""));
     }
     CHECK(server->runs == kUploads);
 }
--- a/src/retry/autotests/retrypolicytest.cpp
+++ b/src/retry/autotests/retrypolicytest.cpp
@@ -28,10 +28,11 @@
 TEST_CASE("RetryPolicy: which failures are retried")
 {
     // Guards against a second run of a request that may have run, and retries that would fail in the same way.
-    const std::set<ErrorKind> notRun{ErrorKind::Overloaded, ErrorKind::Draining, ErrorKind::Unreachable,
-                                     ErrorKind::RulesNotFresh, ErrorKind::ServerRefused};
-    const std::set<ErrorKind> mayHaveRun{ErrorKind::ConnectionLost, ErrorKind::ServerCrashed};
-    for (int i = 0; i <= static_cast<int>(ErrorKind::Internal); ++i) {
+    const std::set<ErrorKind> notRun{ErrorKind::Overloaded,      ErrorKind::Draining,      ErrorKind::Unreachable,
+                                     ErrorKind::RulesNotFresh,   ErrorKind::ServerRefused, ErrorKind::Misdirected,
+                                     ErrorKind::StaleIncarnation};
+    const std::set<ErrorKind> mayHaveRun{ErrorKind::ConnectionLost, ErrorKind::ServerCrashed, ErrorKind::BadAnswer};
+    for (int i = 0; i <= static_cast<int>(ErrorKind::ParentUnknown); ++i) {
         const auto kind = static_cast<ErrorKind>(i);
         CAPTURE(errorResponseFor(kind).name);
         CHECK(decideFirst(false, true, kind).retry == notRun.contains(kind));
--- a/src/retry/retrypolicy.cpp
+++ b/src/retry/retrypolicy.cpp
@@ -36,7 +36,9 @@
         return true;
     }
     // Other errors of unknown outcome would occur on another server as well.
-    return repeatable_ && (kind == ErrorKind::ConnectionLost || kind == ErrorKind::ServerCrashed);
+    const bool isOfServer =
+        kind == ErrorKind::ConnectionLost || kind == ErrorKind::ServerCrashed || kind == ErrorKind::BadAnswer;
+    return repeatable_ && isOfServer;
 }
 
 } // namespace Hibiscus
