A broken response of the store is no response

What a daemon and hibiscusctl saw: bytes with status 000 or 999, a field whose name holds a blank, malformed chunks or two lengths were taken for the store's response. By the code, one below 300 acknowledges a removal, and another write if it names a version; a read takes its body over if it is JSON. Ruled out: cut bodies and bytes that are no HTTP, which cpp-httplib refuses. A check of its results after the fact would not see the chunks and the lines as they came. Change: StoreTransport uses HttpClient through BlockingCall, so that there is one reader of responses. HttpClient got what the store's client had: a source address, probes of a silent peer, a timeout for each part of a response, and "Connection: close" for a connection of a single request. Broken bytes make a read Unavailable and a write Ambiguous, as no response does. A response of the store has at most 32 MiB now.

--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -31,9 +31,13 @@
 struct HttpCallOptions {
     Millis connectTimeout{1000};
     Millis responseTimeout{30000};
+    bool renewsTimeout = false; ///< responseTimeout begins anew with each part of the response.
     /** When the receiver may begin. Only a daemon is known to wait for the whole message. */
     RequestStart start = RequestStart::AtHead;
     bool freshConnection = false; ///< Don't reuse an idle connection, which the server may be closing.
+    bool singleUse = false; ///< The connection carries this request alone, and the server is told so.
+    bool probesPeer = false; ///< Probe a silent connection, so that it ends when the server's host is gone.
+    std::string localAddress{}; ///< Source IP address of a new connection; empty lets the system choose.
     std::size_t maximumBodyBytes = 16U << 20U;
     /** Header field that the response echoes from the request. A response with another value belongs to an earlier
      * request of the connection: it is dropped, and the client waits for the next one. */
--- a/src/http/httpexchange.cpp
+++ b/src/http/httpexchange.cpp
@@ -37,6 +37,9 @@
 constexpr Millis kUploadStallTimeout{10000};
 /** Bytes after the response that are ignored while the rest of the body is sent. */
 constexpr std::size_t kMaximumDiscardedBytes = 65536;
+constexpr int kProbeIdleSeconds = 1;
+constexpr int kProbeIntervalSeconds = 1;
+constexpr int kProbeCount = 2;
 constexpr int kStatusContinue = 100;
 constexpr int kStatusOk = 200;
 constexpr int kFirstFailureStatus = 300;
@@ -54,6 +57,18 @@
     setTcpUserTimeout(socket, kTcpUserTimeoutMillis);
 }
 
+/** Lets the system end a connection whose peer acknowledges no probe for about 3 s. */
+void setProbes(ConnectionPool::Socket &socket)
+{
+    const int on = 1;
+    // Failures are ignored: a connection without probes still works, but its loss is noticed late.
+    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_KEEPIDLE, &kProbeIdleSeconds, sizeof(kProbeIdleSeconds));
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_KEEPINTVL, &kProbeIntervalSeconds,
+                 sizeof(kProbeIntervalSeconds));
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_KEEPCNT, &kProbeCount, sizeof(kProbeCount));
+}
+
 /** Whether another response to the same request follows (RFC 9110, section 15.2). */
 bool isInterim(const HttpResponse &response)
 {
@@ -71,7 +86,7 @@
     , strand_(asio::make_strand(pool_->context()))
     , socket_(strand_)
     , timer_(strand_)
-    , head_(serializeRequestHead(address_, request))
+    , head_(serializeRequestHead(address_, request, options_.singleUse))
     , body_(request.body)
     , progress_(head_.size(), head_.size() + request.body.size(), options_.start)
     , parser_(std::make_unique<ResponseParser>(options.maximumBodyBytes))
@@ -91,7 +106,7 @@
 
 void HttpExchange::start()
 {
-    if (!options_.freshConnection) {
+    if (!options_.freshConnection && !options_.singleUse) {
         if (std::optional<ConnectionPool::Socket> idle = pool_->popIdle(address_)) {
             socket_ = std::move(*idle);
             post(&HttpExchange::write);
@@ -132,16 +147,40 @@
         return;
     }
     armTimer(options_.connectTimeout);
+    if (!bindSocket(*endpoint)) {
+        fail();
+        return;
+    }
     socket_.async_connect(*endpoint, bind([](HttpExchange &self, const asio::error_code &error, std::size_t) {
         if (error) {
             self.fail();
             return;
         }
         setSocketOptions(self.socket_);
+        if (self.options_.probesPeer) {
+            setProbes(self.socket_);
+        }
         self.write();
     }));
 }
 
+/** Binds the socket to the local address of the options; false if that fails. */
+bool HttpExchange::bindSocket(const asio::ip::tcp::endpoint &peer)
+{
+    if (options_.localAddress.empty()) {
+        return true;
+    }
+    asio::error_code error;
+    const asio::ip::address address = asio::ip::make_address(options_.localAddress, error);
+    if (!error) {
+        socket_.open(peer.protocol(), error);
+    }
+    if (!error) {
+        socket_.bind({address, 0}, error);
+    }
+    return !error;
+}
+
 void HttpExchange::write()
 {
     connected_ = true;
@@ -237,6 +276,9 @@
         return;
     }
     hasReceivedBytes_ = true;
+    if (options_.renewsTimeout) {
+        armTimer(options_.responseTimeout);
+    }
     feed(std::string_view(buffer.data(), size));
 }
 
@@ -309,7 +351,7 @@
         finishUpload();
         return;
     }
-    if (keepAlive && isReceived()) {
+    if (keepAlive && !options_.singleUse && isReceived()) {
         setTcpUserTimeout(socket_, kTcpUserTimeoutMillis);
         pool_->addIdle(address_, std::move(socket_), std::min(idle, ConnectionPool::kMaximumIdleTime));
     }
--- a/src/http/requestwriter.cpp
+++ b/src/http/requestwriter.cpp
@@ -3,7 +3,7 @@
 namespace Hibiscus
 {
 
-std::string serializeRequestHead(const HostAddress &address, const HttpRequest &request)
+std::string serializeRequestHead(const HostAddress &address, const HttpRequest &request, bool closesConnection)
 {
     std::string text;
     text.reserve(512);
@@ -14,6 +14,9 @@
             text.append(field.first).append(": ").append(field.second).append("\r\n");
         }
     }
+    if (closesConnection) {
+        text.append("Connection: close\r\n");
+    }
     text.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n\r\n");
     return text;
 }
--- a/src/http/requestwriter.h
+++ b/src/http/requestwriter.h
@@ -9,8 +9,9 @@
 namespace Hibiscus
 {
 
-/** Request line and header fields of @p request in the form in which they are sent to @p address, up to the body. */
-std::string serializeRequestHead(const HostAddress &address, const HttpRequest &request);
+/** Request line and header fields of @p request in the form in which they are sent to @p address, up to the body. They
+ * say so if the connection is closed after the response. */
+std::string serializeRequestHead(const HostAddress &address, const HttpRequest &request, bool closesConnection);
 
 } // namespace Hibiscus
 
--- a/src/platform/storetransport.cpp
+++ b/src/platform/storetransport.cpp
@@ -1,17 +1,11 @@
 #include "platform/storetransport.h"
 
-#include "core/chronotime.h"
+#include "http/blockingcall.h"
 
-#include <chrono>
 #include <condition_variable>
-#include <csignal>
 #include <mutex>
 #include <set>
-
-#include <httplib.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
+#include <strings.h>
 
 namespace Hibiscus
 {
@@ -19,35 +13,33 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds kStopRetryInterval(10);
-/** Keep-alive probes of an idle connection, so that a watch on a dead connection ends after about 3 s. */
-constexpr int kProbeIdleSeconds = 1;
-constexpr int kProbeIntervalSeconds = 1;
-constexpr int kProbeCount = 2;
-constexpr int kUserTimeoutMillis = 3000;
+/** Largest response that is read, in bytes. */
+constexpr std::size_t kMaximumResponseBytes = 32U << 20U;
 
-StoreError errorOfTransport(httplib::Error error, StoreCallKind kind)
+StoreError errorOfTransport(TransportError error, StoreCallKind kind)
 {
     switch (error) {
-    case httplib::Error::Connection:
-    case httplib::Error::BindIPAddress:
-    case httplib::Error::ConnectionTimeout:
-        // Without a connection nothing was written.
+    case TransportError::ConnectFailed:
+    case TransportError::NotBegun:
         return StoreError::Unavailable;
-    default:
-        return errorWithoutResponse(kind);
+    case TransportError::Lost:
+    case TransportError::MalformedResponse:
+    case TransportError::TimedOut:
+        break;
     }
+    return errorWithoutResponse(kind);
 }
 
-void configureSocket(int socket)
+HttpRequest makeRequest(const StoreCall &call)
 {
-    const int on = 1;
-    // Failures are ignored: without these options calls still work, but a lost connection is noticed late.
-    ::setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-    ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeIdleSeconds, sizeof(kProbeIdleSeconds));
-    ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeIntervalSeconds, sizeof(kProbeIntervalSeconds));
-    ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &kProbeCount, sizeof(kProbeCount));
-    ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMillis, sizeof(kUserTimeoutMillis));
+    HttpRequest request{call.method, call.target, {}, call.body};
+    for (const auto &[name, value] : call.headers) {
+        request.headers.add(name, value);
+    }
+    if (!call.contentType.empty()) {
+        request.headers.set("Content-Type", call.contentType);
+    }
+    return request;
 }
 
 } // namespace
@@ -70,99 +62,74 @@
 class StoreTransport::Private
 {
 public:
-    explicit Private(StoreTransportSettings transportSettings)
-        : settings(std::move(transportSettings))
-    {
-    }
+    using CallPtr = std::shared_ptr<HttpCall>;
 
-    void configure(httplib::Client &client, Millis watchTimeout) const
+    HttpCallOptions options(Millis watchTimeout) const
     {
-        client.set_connection_timeout(toChrono(settings.connectTimeout));
-        client.set_read_timeout(toChrono(settings.responseTimeout + watchTimeout));
-        client.set_write_timeout(toChrono(settings.responseTimeout));
-        client.set_keep_alive(false);
-        client.set_tcp_nodelay(true);
-        client.set_url_encode(false);
-        client.set_socket_options([](socket_t socket) { configureSocket(socket); });
-        if (!settings.localAddress.empty()) {
-            client.set_interface(settings.localAddress);
-        }
+        HttpCallOptions result;
+        result.connectTimeout = settings.connectTimeout;
+        result.responseTimeout = settings.responseTimeout + watchTimeout;
+        result.renewsTimeout = true;
+        result.probesPeer = true;
+        result.localAddress = settings.localAddress;
+        result.maximumBodyBytes = kMaximumResponseBytes;
+        return result;
     }
 
-    bool addClient(httplib::Client *client)
+    bool addCall(const CallPtr &call)
     {
         const std::lock_guard lock(mutex);
         if (interrupted) {
             return false;
         }
-        clients.insert(client);
+        calls.insert(call);
         return true;
     }
 
-    void removeClient(httplib::Client *client)
+    void removeCall(const CallPtr &call)
     {
         const std::lock_guard lock(mutex);
-        clients.erase(client);
-        clientRemoved.notify_all();
+        calls.erase(call);
+        callRemoved.notify_all();
     }
 
     StoreTransportSettings settings;
     std::mutex mutex;
-    std::condition_variable clientRemoved;
-    std::set<httplib::Client *> clients; ///< Clients of the calls in progress.
+    std::condition_variable callRemoved;
+    std::set<CallPtr> calls; ///< In progress.
     bool interrupted = false;
 };
 
 StoreTransport::StoreTransport(StoreTransportSettings settings)
-    : d_(std::make_unique<Private>(std::move(settings)))
+    : d_(std::make_unique<Private>())
 {
-    // cpp-httplib's client writes without MSG_NOSIGNAL, so that a write to a connection closed by the platform would
-    // terminate the process.
-    std::signal(SIGPIPE, SIG_IGN);
+    d_->settings = std::move(settings);
 }
 
 StoreTransport::~StoreTransport() = default;
 
 StoreResult<StoreResponse> StoreTransport::call(const StoreCall &call)
 {
-    httplib::Client client("http://" + d_->settings.address.value());
-    d_->configure(client, call.watchTimeout);
-    httplib::Request request;
-    request.method = call.method;
-    request.path = call.target;
-    request.body = call.body;
-    for (const auto &[name, value] : call.headers) {
-        request.headers.emplace(name, value);
-    }
-    if (!call.contentType.empty()) {
-        request.headers.emplace("Content-Type", call.contentType);
-    }
-    if (!d_->addClient(&client)) {
+    BlockingCall http(d_->settings.address, makeRequest(call), d_->options(call.watchTimeout));
+    if (!d_->addCall(http.handle())) {
         return tl::unexpected(StoreError::Unavailable);
     }
-    const httplib::Result result = client.send(request);
-    d_->removeClient(&client);
+    HttpResult result = http.run();
+    d_->removeCall(http.handle());
     if (!result) {
         return tl::unexpected(errorOfTransport(result.error(), call.kind));
     }
-    StoreResponse response{result->status, {}, result->body};
-    for (const auto &[name, value] : result->headers) {
-        response.headers.emplace_back(name, value);
-    }
-    return response;
+    return StoreResponse{result->status, result->headers.fields(), std::move(result->body)};
 }
 
 void StoreTransport::interrupt()
 {
     std::unique_lock lock(d_->mutex);
     d_->interrupted = true;
-    while (!d_->clients.empty()) {
-        for (httplib::Client *client : d_->clients) {
-            client->stop();
-        }
-        // stop() has no effect on a client that is still connecting, so it is called again.
-        d_->clientRemoved.wait_for(lock, kStopRetryInterval);
+    for (const Private::CallPtr &call : d_->calls) {
+        call->cancel();
     }
+    d_->callRemoved.wait(lock, [this] { return d_->calls.empty(); });
 }
 
 } // namespace Hibiscus
--- a/src/platform/storetransport.h
+++ b/src/platform/storetransport.h
@@ -17,7 +17,7 @@
     HostAddress address; ///< Address of the platform's object API.
     std::string localAddress; ///< Source IP address of connections; empty lets the system choose.
     Millis connectTimeout{1000};
-    Millis responseTimeout{2000}; ///< For each read from or write to the socket; reads add StoreCall::watchTimeout.
+    Millis responseTimeout{2000}; ///< Until each part of the response; a watch adds StoreCall::watchTimeout.
 };
 
 enum class StoreCallKind {
@@ -54,7 +54,6 @@
  *
  * Each call blocks and uses a connection of its own, since only a few calls a second are made and a kept-alive
  * connection that the platform has closed would make a write ambiguous for no reason. Calls are never repeated here.
- * The first instance makes the process ignore SIGPIPE.
  */
 class StoreTransport
 {
