hibiscusctl: a broken response of a daemon is none

Operators saw: a drain or a status was reported as answered on bytes that are no well-formed response (a field whose name holds a blank, for one), and a drain answered with status 000 as refused, though it may have begun. Cause: the calls to daemons used cpp-httplib's client, which checks none of this. Change: they go through BlockingCall, as the store's do.

--- a/src/ctl/autotests/httpdaemonclienttest.cpp
+++ b/src/ctl/autotests/httpdaemonclienttest.cpp
@@ -1,5 +1,8 @@
 #include "ctl/httpdaemonclient.h"
 
+#include "http/autotests/responseforms.h"
+#include "http/autotests/scriptedserver.h"
+
 #include <thread>
 
 #include <doctest/doctest.h>
@@ -28,3 +31,20 @@
     CHECK_FALSE(client.drain(address).error().responded);
     CHECK_FALSE(client.status(HostAddress("nowhere")).error().responded);
 }
+
+TEST_CASE("HttpDaemonClient: a broken response of a daemon is none")
+{
+    // Guards against an operator who is told that a daemon drains because of bytes that are no response.
+    for (const BrokenResponse &broken : kBrokenResponses) {
+        CAPTURE(broken.name);
+        const HostAddress any("127.0.0.1:0");
+        HttpDaemonClient client;
+        const ScriptedServer statusServer(broken.bytes, AfterScript::Close, any, "/status");
+        CHECK_FALSE(client.status(statusServer.address()).has_value());
+        const ScriptedServer drainServer(broken.bytes, AfterScript::Close, any, "/drain");
+        const auto drained = client.drain(drainServer.address());
+        REQUIRE_FALSE(drained.has_value());
+        // The daemon may have begun to drain.
+        CHECK_FALSE(drained.error().responded);
+    }
+}
--- a/src/ctl/httpdaemonclient.cpp
+++ b/src/ctl/httpdaemonclient.cpp
@@ -1,10 +1,7 @@
 #include "ctl/httpdaemonclient.h"
 
 #include "config/valueformat.h"
-
-#include <functional>
-
-#include <httplib.h>
+#include "http/blockingcall.h"
 
 namespace Hibiscus
 {
@@ -12,28 +9,38 @@
 namespace
 {
 
-constexpr time_t kConnectTimeoutSeconds = 2;
-constexpr time_t kResponseTimeoutSeconds = 5;
+constexpr Millis kConnectTimeout{2000};
+constexpr Millis kResponseTimeout{5000};
 
-tl::expected<std::string, DaemonError> call(const HostAddress &daemon,
-                                            const std::function<httplib::Result(httplib::Client &)> &send)
+std::string_view describe(TransportError error)
 {
-    const auto parts = parseAddress(daemon.value());
-    if (!parts) {
-        return tl::unexpected(DaemonError{false, daemon.value() + " is not an IP address with a port"});
+    switch (error) {
+    case TransportError::ConnectFailed:
+        return "no connection";
+    case TransportError::NotBegun:
+    case TransportError::Lost:
+        return "the connection was lost";
+    case TransportError::MalformedResponse:
+        return "the response is malformed";
+    case TransportError::TimedOut:
+        return "no response in time";
     }
-    std::string host = daemon.value().substr(0, daemon.value().rfind(':'));
-    if (host.front() == '[') {
-        host = host.substr(1, host.size() - 2);
+    return "unknown";
+}
+
+tl::expected<std::string, DaemonError> call(const HostAddress &daemon, const HttpRequest &request)
+{
+    if (!parseAddress(daemon.value())) {
+        return tl::unexpected(DaemonError{false, daemon.value() + " is not an IP address with a port"});
     }
-    httplib::Client client(host, parts->port);
-    client.set_connection_timeout(kConnectTimeoutSeconds);
-    client.set_read_timeout(kResponseTimeoutSeconds);
-    client.set_write_timeout(kResponseTimeoutSeconds);
-    const httplib::Result result = send(client);
+    HttpCallOptions options;
+    options.connectTimeout = kConnectTimeout;
+    options.responseTimeout = kResponseTimeout;
+    options.renewsTimeout = true;
+    HttpResult result = BlockingCall(daemon, request, options).run();
     if (!result) {
-        return tl::unexpected(
-            DaemonError{false, "no answer from " + daemon.value() + " (" + httplib::to_string(result.error()) + ")"});
+        return tl::unexpected(DaemonError{
+            false, "no answer from " + daemon.value() + " (" + std::string(describe(result.error())) + ")"});
     }
     constexpr int kSuccessClass = 2;
     constexpr int kStatusesPerClass = 100;
@@ -41,19 +48,19 @@
         return tl::unexpected(
             DaemonError{true, daemon.value() + " answered with status " + std::to_string(result->status)});
     }
-    return result->body;
+    return std::move(result->body);
 }
 
 } // namespace
 
 tl::expected<std::string, DaemonError> HttpDaemonClient::status(const HostAddress &daemon)
 {
-    return call(daemon, [](httplib::Client &client) { return client.Get("/status"); });
+    return call(daemon, {"GET", "/status", {}, ""});
 }
 
 tl::expected<void, DaemonError> HttpDaemonClient::drain(const HostAddress &daemon)
 {
-    const auto response = call(daemon, [](httplib::Client &client) { return client.Post("/drain"); });
+    const auto response = call(daemon, {"POST", "/drain", {}, ""});
     if (!response) {
         return tl::unexpected(response.error());
     }
--- a/src/http/autotests/scriptedserver.h
+++ b/src/http/autotests/scriptedserver.h
@@ -26,17 +26,19 @@
 };
 
 /**
- * Backend server that sends fixed bytes in response to each request for kScriptedTarget, and "sound" in response to any
- * other. It reads requests whose bodies have a stated length.
+ * Backend server that sends fixed bytes in response to each request for a target, and "sound" in response to any other.
+ * It reads requests whose bodies have a stated length.
  */
 class ScriptedServer
 {
 public:
     static constexpr const char *kScriptedTarget = "/scripted";
 
-    ScriptedServer(std::string bytes, AfterScript afterScript, const HostAddress &address = HostAddress("127.0.0.1:0"))
+    ScriptedServer(std::string bytes, AfterScript afterScript, const HostAddress &address = HostAddress("127.0.0.1:0"),
+                   const std::string &target = kScriptedTarget)
         : bytes_(std::move(bytes))
         , afterScript_(afterScript)
+        , target_(" " + target + " ")
         , acceptor_(context_, *parseEndpoint(address))
         , thread_([this] { acceptConnections(); })
     {
@@ -69,7 +71,7 @@
         bytes_ = std::move(bytes);
     }
 
-    std::atomic<int> runs{0}; ///< Requests for kScriptedTarget.
+    std::atomic<int> runs{0}; ///< Requests for the target.
     std::atomic<int> reuses{0}; ///< Requests on a connection on which the bytes had been sent.
 
 private:
@@ -105,7 +107,7 @@
             }
             input.erase(0, messageSize);
             reuses += hasSentScript ? 1 : 0;
-            const bool isScripted = head.find(" " + std::string(kScriptedTarget) + " ") != std::string::npos;
+            const bool isScripted = head.find(target_) != std::string::npos;
             asio::write(socket, asio::buffer(isScripted ? script() : soundResponse()), error);
             runs += isScripted ? 1 : 0;
             hasSentScript = hasSentScript || isScripted;
@@ -137,6 +139,7 @@
     std::mutex mutex_;
     std::string bytes_;
     AfterScript afterScript_;
+    std::string target_;
     std::atomic<bool> stopping_{false};
     asio::io_context context_;
     asio::ip::tcp::acceptor acceptor_;
