A response to HEAD has no body, read or written

Callers saw: HEAD with a server that states the length of what GET would return, as it should, ended with 502 or at the deadline; and a daemon's own response to HEAD had a body, which a client on a kept connection takes for its next response. Cause: neither the reader nor the writer of responses knew the method of the request (RFC 9112, section 6.3). Change: HttpExchange and ServerConnection tell them. The writer leaves out the length too, since that of the body need not be the one that GET would get. Evidence: the mesh's case got 502 before, 200 now; the case with two requests in series found the body before the second response, none now.

--- a/src/http/autotests/httpclienttest.cpp
+++ b/src/http/autotests/httpclienttest.cpp
@@ -213,3 +213,30 @@
     context.stop();
     worker.join();
 }
+
+TEST_CASE("HttpServer: a response to HEAD has no body, and the next response follows it")
+{
+    // Guards against a body that a client reads as the head of its next response.
+    asio::io_context context;
+    EchoHandler handler;
+    HttpServer server(context, {HostAddress("127.0.0.1:0")}, handler);
+    auto work = asio::make_work_guard(context);
+    std::thread worker([&context] { context.run(); });
+    const auto address = server.open();
+    REQUIRE(address.has_value());
+    asio::io_context clientContext;
+    asio::ip::tcp::socket socket(clientContext);
+    socket.connect(*parseEndpoint(*address));
+    asio::write(socket,
+                asio::buffer(std::string("HEAD /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n")));
+    std::string received;
+    asio::read_until(socket, asio::dynamic_buffer(received), "GET /b");
+    const std::size_t second = received.find("HTTP/1.1", 1);
+    CHECK(received.substr(second - 4, 4) == "\r\n\r\n");
+    CHECK(received.find("HEAD /a") == std::string::npos);
+    CHECK(received.substr(0, second).find("Content-Length") == std::string::npos);
+    server.close();
+    work.reset();
+    context.stop();
+    worker.join();
+}
--- a/src/http/autotests/responsesyntaxtest.cpp
+++ b/src/http/autotests/responsesyntaxtest.cpp
@@ -368,3 +368,13 @@
         }
     }
 }
+
+TEST_CASE("ResponseParser: a response to HEAD has no body, whatever its head states")
+{
+    for (const std::string framing : {"", "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n"}) {
+        ResponseParser parser(kMaximumBodyBytes, true);
+        CHECK(parser.feed("HTTP/1.1 200 OK\r\n" + framing + "\r\n") == ResponseParser::State::Complete);
+        CHECK(parser.keepAlive());
+        CHECK(parser.extractResponse().body.empty());
+    }
+}
--- a/src/http/httpexchange.cpp
+++ b/src/http/httpexchange.cpp
@@ -89,7 +89,8 @@
     , head_(serializeRequestHead(address_, request, options_.singleUse))
     , body_(request.body)
     , progress_(head_.size(), head_.size() + request.body.size(), options_.start)
-    , parser_(std::make_unique<ResponseParser>(options.maximumBodyBytes))
+    , isHead_(isHeadMethod(request.method))
+    , parser_(std::make_unique<ResponseParser>(options.maximumBodyBytes, isHead_))
 {
     if (!options_.echoedField.empty()) {
         echoedValue_ = request.headers.find(options_.echoedField).value_or("");
@@ -367,7 +368,7 @@
         failBroken(ResponseFault::TooManyResponses);
         return;
     }
-    parser_ = std::make_unique<ResponseParser>(options_.maximumBodyBytes);
+    parser_ = std::make_unique<ResponseParser>(options_.maximumBodyBytes, isHead_);
     trailing.empty() ? read() : feed(trailing);
 }
 
--- a/src/http/httpexchange.h
+++ b/src/http/httpexchange.h
@@ -92,6 +92,7 @@
     std::string head_;
     HttpBody body_;
     SendProgress progress_;
+    bool isHead_;
     std::unique_ptr<ResponseParser> parser_;
     std::string echoedValue_; ///< Value of HttpCallOptions::echoedField in the request.
     std::size_t accountedBytes_ = 0; ///< Of the unfinished body in the receive budget.
--- a/src/http/httpmessage.cpp
+++ b/src/http/httpmessage.cpp
@@ -48,6 +48,11 @@
                        [name](std::string_view candidate) { return sameHeaderName(candidate, name); });
 }
 
+bool isHeadMethod(std::string_view method)
+{
+    return method == "HEAD";
+}
+
 void HttpHeaders::add(std::string name, std::string value)
 {
     fields_.emplace_back(std::move(name), std::move(value));
--- a/src/http/httpmessage.h
+++ b/src/http/httpmessage.h
@@ -45,6 +45,9 @@
     std::string host{}; ///< Host header field; if it is empty, a client sends the address of the server.
 };
 
+/** Whether the response to a request of this method has no body, whatever its head states (RFC 9110, section 9.3.2). */
+bool isHeadMethod(std::string_view method);
+
 struct HttpResponse {
     int status = 0;
     HttpHeaders headers;
--- a/src/http/pendingrequest.h
+++ b/src/http/pendingrequest.h
@@ -14,8 +14,9 @@
 /** A request of a connection whose response has not been written yet. */
 struct PendingRequest {
     /** @p bytes are held until there is a response. */
-    PendingRequest(bool keepsAlive, TimePoint receivedAt, std::size_t bytes)
+    PendingRequest(bool keepsAlive, bool isHeadRequest, TimePoint receivedAt, std::size_t bytes)
         : keepAlive(keepsAlive)
+        , isHead(isHeadRequest)
         , received(receivedAt)
         , requestBytes(bytes)
     {
@@ -29,6 +30,7 @@
 
     std::optional<HttpResponse> response;
     bool keepAlive;
+    bool isHead;
     TimePoint received;
     std::size_t requestBytes;
     std::size_t responseBytes = 0;
--- a/src/http/responsehead.cpp
+++ b/src/http/responsehead.cpp
@@ -86,6 +86,11 @@
     return StatusLine{*minorVersion, *status};
 }
 
+ResponseHeadReader::ResponseHeadReader(bool toHead)
+    : toHead_(toHead)
+{
+}
+
 ResponseResult<bool> ResponseHeadReader::feed(std::string_view &bytes)
 {
     while (true) {
@@ -134,7 +139,7 @@
         return tl::unexpected(ResponseFault::Upgrade);
     }
     const ResponseResult<BodyFraming> framing =
-        hasNoBody(head_.status) ? BodyFraming{} : framingOf(head_.headers, statusLine_->minorVersion);
+        toHead_ || hasNoBody(head_.status) ? BodyFraming{} : framingOf(head_.headers, statusLine_->minorVersion);
     if (!framing) {
         return tl::unexpected(framing.error());
     }
--- a/src/http/responsehead.h
+++ b/src/http/responsehead.h
@@ -33,6 +33,9 @@
 class ResponseHeadReader
 {
 public:
+    /** With @p toHead the response is one to HEAD, and has no body. */
+    explicit ResponseHeadReader(bool toHead);
+
     /** Takes bytes from the front of @p bytes; true once the head is complete. */
     ResponseResult<bool> feed(std::string_view &bytes);
     ResponseHead extractHead();
@@ -45,6 +48,7 @@
     /** Longest head, in bytes. */
     static constexpr std::size_t kMaximumBytes = 80U << 10U;
 
+    bool toHead_;
     LineReader lines_{kMaximumBytes};
     std::optional<StatusLine> statusLine_;
     ResponseHead head_;
--- a/src/http/responseparser.cpp
+++ b/src/http/responseparser.cpp
@@ -7,8 +7,9 @@
 namespace Hibiscus
 {
 
-ResponseParser::ResponseParser(std::size_t maximumBodyBytes)
+ResponseParser::ResponseParser(std::size_t maximumBodyBytes, bool toHead)
     : maximumBodyBytes_(maximumBodyBytes)
+    , headReader_(toHead)
     , chunks_(maximumBodyBytes)
 {
 }
--- a/src/http/responseparser.h
+++ b/src/http/responseparser.h
@@ -27,7 +27,8 @@
         Malformed, ///< fault() says why. The connection can't be used any more.
     };
 
-    explicit ResponseParser(std::size_t maximumBodyBytes);
+    /** With @p toHead the response is one to HEAD, and has no body. */
+    explicit ResponseParser(std::size_t maximumBodyBytes, bool toHead = false);
 
     State feed(std::string_view bytes);
     /** Handles the end of the connection, which completes a response without a stated length. */
--- a/src/http/responsewriter.cpp
+++ b/src/http/responsewriter.cpp
@@ -41,7 +41,7 @@
 
 } // namespace
 
-void appendResponse(std::string &output, const HttpResponse &response, bool keepAlive)
+void appendResponse(std::string &output, const HttpResponse &response, bool keepAlive, bool toHead)
 {
     output.append("HTTP/1.1 ").append(std::to_string(response.status)).append(" ");
     output.append(reasonPhrase(response.status)).append("\r\n");
@@ -53,7 +53,7 @@
     if (!keepAlive) {
         output.append("Connection: close\r\n");
     }
-    const bool hasBody = response.status != kStatusNoContent && response.status != kStatusNotModified;
+    const bool hasBody = !toHead && response.status != kStatusNoContent && response.status != kStatusNotModified;
     if (hasBody) {
         output.append("Content-Length: ").append(std::to_string(response.body.size())).append("\r\n");
     }
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -219,7 +219,8 @@
     continueSent_ = false;
     messageStarted_ = lastActivity_;
     const std::size_t heldBytes = request.body.size() + request.headers.heldBytes();
-    const auto pending = std::make_shared<PendingRequest>(parser_.keepAlive(), lastActivity_, heldBytes);
+    const auto pending =
+        std::make_shared<PendingRequest>(parser_.keepAlive(), isHeadMethod(request.method), lastActivity_, heldBytes);
     account_.addRequest(pending->requestBytes);
     pendingRequests_.push_back(pending);
     if (!pending->keepAlive) {
@@ -256,7 +257,7 @@
     closing_ = true;
     std::string().swap(input_);
     parser_.discard();
-    const auto pending = std::make_shared<PendingRequest>(false, lastActivity_, 0);
+    const auto pending = std::make_shared<PendingRequest>(false, false, lastActivity_, 0);
     pending->response = HttpResponse{status, {}, ""};
     pendingRequests_.push_back(pending);
     writeReadyResponses();
@@ -272,7 +273,7 @@
         const bool isLast = wantsClose && pendingRequests_.empty() && !parser_.isInMessage();
         closing_ = closing_ || isLast;
         account_.removeResponse(pending->responseBytes);
-        appendResponse(output_, *pending->response, !isLast);
+        appendResponse(output_, *pending->response, !isLast, pending->isHead);
     }
     write();
     updateAccount();
--- a/src/mesh/autotests/brokenresponsetest.cpp
+++ b/src/mesh/autotests/brokenresponsetest.cpp
@@ -122,3 +122,18 @@
         CHECK(response.body == "whole");
     }
 }
+
+TEST_CASE("MeshDaemon: a response to HEAD has no body, whatever its head states")
+{
+    // Guards against waiting for a body that never comes, and against one that a client takes for its next response.
+    Mesh mesh;
+    ScriptedHost host(mesh, "scripted-1", kOk + "Content-Length: 5\r\nTrace: 1\r\n\r\n");
+    mesh.awaitStatus(200);
+    HttpRequest request = scriptedRequest("head", kOnceHost);
+    request.method = "HEAD";
+    request.headers.add(kTimeoutField, "1000");
+    const HttpResponse response = mesh.send(mesh.front->settings.callers, request);
+    CHECK(response.status == 200);
+    CHECK(response.headers.find("Trace") == "1");
+    CHECK(response.body.empty());
+}
