--- a/src/http/httpexchange.cpp
+++ b/src/http/httpexchange.cpp
@@ -3,16 +3,14 @@
 #include "core/chronotime.h"
 #include "http/endpoint.h"
 #include "http/requestwriter.h"
+#include "http/socketoptions.h"
 
 #include <algorithm>
 #include <array>
 #include <utility>
 
 #include <linux/sockios.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/ioctl.h>
-#include <sys/socket.h>
 
 #include <asio/post.hpp>
 
@@ -25,10 +23,6 @@
 constexpr std::size_t kReadBufferBytes = 65536;
 /** Fraction of the idle timeout stated by the server after which a connection is not reused. */
 constexpr double kIdleTimeoutFraction = 0.8;
-/** Bytes that stay unacknowledged for this time end the connection, so that a host without power is noticed. */
-constexpr int kTcpUserTimeoutMillis = 3000;
-/** The system's own timeout. The one above also ends a connection to a live peer whose receive window stays closed. */
-constexpr int kNoTcpUserTimeout = 0;
 /** Messages up to this size fit into the receive window of a server that reads nothing at all. */
 constexpr std::size_t kSmallMessageBytes = 16384;
 /** Late responses to earlier requests that are dropped before the connection is given up. */
@@ -37,38 +31,10 @@
 constexpr Millis kUploadStallTimeout{10000};
 /** Bytes after the response that are ignored while the rest of the body is sent. */
 constexpr std::size_t kMaximumDiscardedBytes = 65536;
-constexpr int kProbeIdleSeconds = 1;
-constexpr int kProbeIntervalSeconds = 1;
-constexpr int kProbeCount = 2;
 constexpr int kStatusContinue = 100;
 constexpr int kStatusOk = 200;
 constexpr int kFirstFailureStatus = 300;
 
-void setTcpUserTimeout(ConnectionPool::Socket &socket, int millis)
-{
-    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, sizeof(millis));
-}
-
-void setSocketOptions(ConnectionPool::Socket &socket)
-{
-    asio::error_code ignored; // A connection without these options still works.
-    socket.non_blocking(true, ignored);
-    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    setTcpUserTimeout(socket, kTcpUserTimeoutMillis);
-}
-
-/** Lets the system end a connection whose peer acknowledges no probe for about 3 s. */
-void setProbes(ConnectionPool::Socket &socket)
-{
-    const int on = 1;
-    // Failures are ignored: a connection without probes still works, but its loss is noticed late.
-    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_KEEPIDLE, &kProbeIdleSeconds, sizeof(kProbeIdleSeconds));
-    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_KEEPINTVL, &kProbeIntervalSeconds,
-                 sizeof(kProbeIntervalSeconds));
-    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_KEEPCNT, &kProbeCount, sizeof(kProbeCount));
-}
-
 /** Whether another response to the same request follows (RFC 9110, section 15.2). */
 bool isInterim(const HttpResponse &response)
 {
@@ -148,7 +114,7 @@
         return;
     }
     armTimer(options_.connectTimeout);
-    if (!bindSocket(*endpoint)) {
+    if (!options_.localAddress.empty() && !bindSocket(socket_, options_.localAddress, *endpoint)) {
         fail();
         return;
     }
@@ -157,37 +123,20 @@
             self.fail();
             return;
         }
-        setSocketOptions(self.socket_);
+        setClientOptions(self.socket_);
         if (self.options_.probesPeer) {
-            setProbes(self.socket_);
+            probePeer(self.socket_);
         }
         self.write();
     }));
 }
 
-/** Binds the socket to the local address of the options; false if that fails. */
-bool HttpExchange::bindSocket(const asio::ip::tcp::endpoint &peer)
-{
-    if (options_.localAddress.empty()) {
-        return true;
-    }
-    asio::error_code error;
-    const asio::ip::address address = asio::ip::make_address(options_.localAddress, error);
-    if (!error) {
-        socket_.open(peer.protocol(), error);
-    }
-    if (!error) {
-        socket_.bind({address, 0}, error);
-    }
-    return !error;
-}
-
 void HttpExchange::write()
 {
     connected_ = true;
     armTimer(options_.responseTimeout);
     if (options_.start == RequestStart::AtHead && messageBytes() > kSmallMessageBytes) {
-        setTcpUserTimeout(socket_, kNoTcpUserTimeout);
+        clearUserTimeout(socket_);
     }
     writeSome();
     if (!closed_) {
@@ -353,7 +302,7 @@
         return;
     }
     if (keepAlive && !options_.singleUse && isReceived()) {
-        setTcpUserTimeout(socket_, kTcpUserTimeoutMillis);
+        setUserTimeout(socket_);
         pool_->addIdle(address_, std::move(socket_), std::min(idle, ConnectionPool::kMaximumIdleTime));
     }
     finish(std::move(response));
--- a/src/http/httpexchange.h
+++ b/src/http/httpexchange.h
@@ -43,7 +43,6 @@
 private:
     void post(void (HttpExchange::*step)());
     void connect();
-    bool bindSocket(const asio::ip::tcp::endpoint &peer);
     void write();
     void writeSome();
     void onWriteFailed(const asio::error_code &error);
