--- a/src/http/httpexchange.cpp
+++ b/src/http/httpexchange.cpp
@@ -31,16 +31,8 @@
 constexpr Millis kUploadStallTimeout{10000};
 /** Bytes after the response that are ignored while the rest of the body is sent. */
 constexpr std::size_t kMaximumDiscardedBytes = 65536;
-constexpr int kStatusContinue = 100;
-constexpr int kStatusOk = 200;
 constexpr int kFirstFailureStatus = 300;
 
-/** Whether another response to the same request follows (RFC 9110, section 15.2). */
-bool isInterim(const HttpResponse &response)
-{
-    return response.status >= kStatusContinue && response.status < kStatusOk;
-}
-
 } // namespace
 
 HttpExchange::HttpExchange(std::shared_ptr<ConnectionPool> pool, HostAddress address, const HttpRequest &request,
@@ -290,7 +282,7 @@
     const Millis idle = parser_->idleTimeout().value_or(ConnectionPool::kMaximumIdleTime) * kIdleTimeoutFraction;
     const std::string trailing = parser_->extractTrailingBytes();
     HttpResponse response = parser_->extractResponse();
-    if (isInterim(response) || isForOtherRequest(response)) {
+    if (isInterimStatus(response.status) || isForOtherRequest(response)) {
         receiveOther(response, trailing);
         return;
     }
--- a/src/http/httpmessage.cpp
+++ b/src/http/httpmessage.cpp
@@ -9,6 +9,11 @@
 namespace
 {
 
+constexpr int kStatusContinue = 100;
+constexpr int kStatusOk = 200;
+constexpr int kStatusNoContent = 204;
+constexpr int kStatusNotModified = 304;
+
 /** Lower case of an ASCII letter. Field names are ASCII, and the result must not depend on the locale. */
 constexpr char lowerCase(char character)
 {
@@ -48,6 +53,16 @@
                        [name](std::string_view candidate) { return sameHeaderName(candidate, name); });
 }
 
+bool isInterimStatus(int status)
+{
+    return status >= kStatusContinue && status < kStatusOk;
+}
+
+bool isBodilessStatus(int status)
+{
+    return isInterimStatus(status) || status == kStatusNoContent || status == kStatusNotModified;
+}
+
 bool isHeadMethod(std::string_view method)
 {
     return method == "HEAD";
--- a/src/http/httpmessage.h
+++ b/src/http/httpmessage.h
@@ -45,6 +45,12 @@
     std::string host{}; ///< Host header field; if it is empty, a client sends the address of the server.
 };
 
+/** Whether another response to the same request follows one of this status (RFC 9110, section 15.2). */
+bool isInterimStatus(int status);
+
+/** Whether responses of this status have no body, whatever their heads state (RFC 9112, section 6.3). */
+bool isBodilessStatus(int status);
+
 /** Whether the response to a request of this method has no body, whatever its head states (RFC 9110, section 9.3.2). */
 bool isHeadMethod(std::string_view method);
 
--- a/src/http/responsehead.cpp
+++ b/src/http/responsehead.cpp
@@ -18,9 +18,6 @@
 constexpr int kFirstStatus = 100;
 constexpr int kLastStatus = 599;
 constexpr int kStatusSwitchingProtocols = 101;
-constexpr int kStatusOk = 200;
-constexpr int kStatusNoContent = 204;
-constexpr int kStatusNotModified = 304;
 
 /** Removes a number of so many digits from the front of @p text; empty if there is none. */
 std::optional<int> takeDigits(std::string_view &text, std::size_t digits)
@@ -50,12 +47,6 @@
     return kVersionPrefix.starts_with(text.substr(0, kVersionPrefix.size()));
 }
 
-/** Whether responses of this status have no body, whatever their heads state (RFC 9112, section 6.3). */
-bool hasNoBody(int status)
-{
-    return status < kStatusOk || status == kStatusNoContent || status == kStatusNotModified;
-}
-
 /** Whether the server keeps the connection open after its response (RFC 9112, section 9.3). */
 bool staysOpen(const HttpHeaders &headers, int minorVersion)
 {
@@ -139,7 +130,7 @@
         return tl::unexpected(ResponseFault::Upgrade);
     }
     const ResponseResult<BodyFraming> framing =
-        toHead_ || hasNoBody(head_.status) ? BodyFraming{} : framingOf(head_.headers, statusLine_->minorVersion);
+        toHead_ || isBodilessStatus(head_.status) ? BodyFraming{} : framingOf(head_.headers, statusLine_->minorVersion);
     if (!framing) {
         return tl::unexpected(framing.error());
     }
--- a/src/http/responsewriter.cpp
+++ b/src/http/responsewriter.cpp
@@ -10,9 +10,6 @@
 namespace
 {
 
-constexpr int kStatusNoContent = 204;
-constexpr int kStatusNotModified = 304;
-
 std::string_view reasonPhrase(int status)
 {
     static constexpr std::array<std::pair<int, std::string_view>, 14> kReasonPhrases{{
@@ -53,7 +50,7 @@
     if (!keepAlive) {
         output.append("Connection: close\r\n");
     }
-    const bool hasBody = !toHead && response.status != kStatusNoContent && response.status != kStatusNotModified;
+    const bool hasBody = !toHead && !isBodilessStatus(response.status);
     if (hasBody) {
         output.append("Content-Length: ").append(std::to_string(response.body.size())).append("\r\n");
     }
