--- a/review/standins-2/rig.hh
+++ b/review/standins-2/rig.hh
@@ -27,6 +27,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <poll.h>
+#include <random>
 #include <set>
 #include <string>
 #include <strings.h>
@@ -150,19 +151,20 @@
     return endpoint;
 }
 
-/** A free port of 127.0.0.1. Ports are given out once. */
+/** A free port of 127.0.0.1, below those that the system gives to outgoing connections. Ports are given out once. */
 inline std::string freeAddress()
 {
     static std::set<int> given;
+    static std::mt19937 random{std::random_device()()};
+    std::uniform_int_distribution<int> ports(10240, 32000);
     while (true) {
+        const std::string address = "127.0.0.1:" + std::to_string(ports(random));
         const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        sockaddr_in endpoint = endpointOf("127.0.0.1:0");
-        bind(fd, reinterpret_cast<sockaddr *>(&endpoint), sizeof(endpoint));
-        socklen_t length = sizeof(endpoint);
-        getsockname(fd, reinterpret_cast<sockaddr *>(&endpoint), &length);
+        const sockaddr_in endpoint = endpointOf(address);
+        const bool isFree = bind(fd, reinterpret_cast<const sockaddr *>(&endpoint), sizeof(endpoint)) == 0;
         close(fd);
-        if (given.insert(ntohs(endpoint.sin_port)).second) {
-            return "127.0.0.1:" + std::to_string(ntohs(endpoint.sin_port));
+        if (isFree && given.insert(ntohs(endpoint.sin_port)).second) {
+            return address;
         }
     }
 }
@@ -340,7 +342,7 @@
         setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
         const sockaddr_in endpoint = endpointOf(address);
         if (bind(fd_, reinterpret_cast<const sockaddr *>(&endpoint), sizeof(endpoint)) != 0 || listen(fd_, 1024) != 0) {
-            record.line("cannot listen at %s: %s", address.c_str(), std::strerror(errno));
+            record.line("can't listen at %s: %s", address.c_str(), std::strerror(errno));
             ::close(fd_);
             fd_ = -1;
             return false;
