A restarted daemon knows what has left before the server beside it gets work

Cause: the first listing of the directory was read from a copy that may lag, and any listing, and any directory of another daemon, was taken as telling which servers have left. The late check-in then counted as a start.

Change: the first listing of a watcher is up to date; AcknowledgedLeaves owns whether leaves are known, by such a listing or, without a store, by a check-in that arrives 10 s after the start or later. Gate, registration and announcement of the local server wait for it. The store of the tests can delay stale reads.

Cost: a listing at full price per start of a daemon; without a store the own server is out of use up to 10 s longer.

--- a/src/discovery/deploymentsync.cpp
+++ b/src/discovery/deploymentsync.cpp
@@ -43,6 +43,7 @@
     , clock_(clock)
     , settings_(std::move(settings))
     , callbacks_(std::move(callbacks))
+    , leaves_(clock)
     , writer_(executor_, store)
     , configuration_(settings_.configurationKey, callbacks_.adoptConfiguration)
     , own_(settings_.self, clock, writer_,
@@ -105,6 +106,7 @@
         if (std::exchange(hasNewCrashReports_, false)) {
             exchange_.propagate();
         }
+        leaves_.tick();
         own_.removeExpired(directory_);
         if (!isStoreAvailable() || !hasDirectory_ || configuration_.text().empty() || clock_.now() < exchangeUntil_) {
             exchange_.tick();
@@ -119,10 +121,10 @@
     if (!own) {
         return;
     }
-    if (!hasDirectory_) {
+    if (!knowsLeaves()) {
         // The store may know that this process of the server has left, and would be overwritten.
         needsPublishing_ = true;
-        awaitingDirectory_.push_back(std::move(done));
+        awaitingLeaves_.push_back(std::move(done));
         return;
     }
     if (directory_.applyDirect(*own)) {
@@ -166,6 +168,12 @@
     own_.withdrawAll();
 }
 
+void DeploymentSync::recordCheckIn()
+{
+    leaves_.checkInReceived();
+    publishWaiting();
+}
+
 void DeploymentSync::markDraining(const ServerName &name, std::int64_t startedAt)
 {
     if (directory_.markDraining(name, startedAt)) {
@@ -198,6 +206,11 @@
     return hasDirectory_;
 }
 
+bool DeploymentSync::knowsLeaves() const
+{
+    return hasDirectory_ && (!settings_.hasCheckIns || leaves_.areKnown());
+}
+
 bool DeploymentSync::isStoreAvailable() const
 {
     return isConfigurationWatchAvailable_ && isDirectoryWatchAvailable_;
@@ -226,7 +239,10 @@
         }
     }
     directory_.replace(entries, {listing.era, listing.revision});
-    noticeDirectory();
+    // The first listing is up to date. Later ones may lag, but the directory keeps what has left.
+    leaves_.listingReceived();
+    hasDirectory_ = true;
+    publishWaiting();
     if (cameBack) {
         own_.writeAgain(listing);
         exchangeUntil_ = clock_.now() + kSettlingTime;
@@ -271,12 +287,12 @@
     });
 }
 
-void DeploymentSync::noticeDirectory()
+void DeploymentSync::publishWaiting()
 {
-    if (std::exchange(hasDirectory_, true) || !std::exchange(needsPublishing_, false)) {
+    if (!knowsLeaves() || !std::exchange(needsPublishing_, false)) {
         return;
     }
-    publish([waiting = std::exchange(awaitingDirectory_, {})] {
+    publish([waiting = std::exchange(awaitingLeaves_, {})] {
         for (const RegistrationWriter::Done &done : waiting) {
             if (done) {
                 done();
@@ -311,7 +327,8 @@
     message.digest = directoryDigest(directory_);
     message.crashes = callbacks_.crashReports();
     if (other == nullptr) {
-        if (const auto own = callbacks_.ownRegistration()) {
+        const std::optional<ServerRegistration> own = callbacks_.ownRegistration();
+        if (own && knowsLeaves()) {
             message.servers.push_back({*own, {}});
         }
         for (const auto &[name, left] : own_.former()) {
@@ -356,7 +373,8 @@
         }
     }
     if (!directory_.entries().empty()) {
-        noticeDirectory();
+        hasDirectory_ = true;
+        publishWaiting();
     }
     if (changed) {
         callbacks_.directoryChanged();
--- a/src/discovery/deploymentsync.h
+++ b/src/discovery/deploymentsync.h
@@ -1,6 +1,7 @@
 #ifndef HIBISCUS_DISCOVERY_DEPLOYMENTSYNC_H
 #define HIBISCUS_DISCOVERY_DEPLOYMENTSYNC_H
 
+#include "directory/acknowledgedleaves.h"
 #include "discovery/configurationfollower.h"
 #include "discovery/directoryexchange.h"
 #include "discovery/ownregistrations.h"
@@ -19,6 +20,7 @@
     HostAddress self; ///< Peers listener of this daemon.
     std::string configurationKey; ///< Object that holds the configuration, as "<kind>/<name>".
     std::vector<HostAddress> seeds; ///< Daemons to contact as long as the directory lists no other daemon.
+    bool hasCheckIns = false; ///< The local server is known by its check-ins, which may arrive late.
 };
 
 /**
@@ -65,6 +67,8 @@
     void withdrawAllExcept(const ServerName &current);
     /** Removes the registrations of all servers of this daemon from the store. */
     void withdrawAllOwn();
+    /** A check-in of the present local server arrives. */
+    void recordCheckIn();
     /** Records that a server process drains, as it said in a response. */
     void markDraining(const ServerName &name, std::int64_t startedAt);
     /** Exchanges with other daemons immediately, for instance after a crash. */
@@ -77,6 +81,9 @@
     const ServerDirectory &directory() const;
     /** Whether the servers are known, from the store or from another daemon. */
     bool hasDirectory() const;
+    /** Whether it is known which servers beside this daemon drain or have left. Before that the local server, which may
+     * be one of them, is neither published nor may it get work. */
+    bool knowsLeaves() const;
     bool isStoreAvailable() const;
 
 private:
@@ -91,8 +98,8 @@
     void merge(const DirectoryMessage &message);
     std::vector<HostAddress> knownDaemons() const;
     void scheduleExchange();
-    /** The servers are known now; publishes what waited for that. */
-    void noticeDirectory();
+    /** Publishes the local server if that waited until it is known which servers have left. */
+    void publishWaiting();
 
     asio::any_io_executor executor_;
     ObjectStore &store_;
@@ -100,8 +107,9 @@
     DeploymentSyncSettings settings_;
     Callbacks callbacks_;
     ServerDirectory directory_;
-    bool needsPublishing_ = false; ///< The local server checked in before the directory was known.
-    std::vector<RegistrationWriter::Done> awaitingDirectory_; ///< Told when that is published.
+    AcknowledgedLeaves leaves_;
+    bool needsPublishing_ = false; ///< The local server checked in before it was known which servers have left.
+    std::vector<RegistrationWriter::Done> awaitingLeaves_; ///< Told when that is published.
     std::uint64_t era_ = 0; ///< Latest era of the store that a response named; 0 if it names none.
     TimePoint exchangeUntil_; ///< Until then exchanges go on although the store responds.
     bool hasNewCrashReports_ = false; ///< They are propagated when exchangeTimer_ expires next.
--- a/src/discovery/storewatcher.cpp
+++ b/src/discovery/storewatcher.cpp
@@ -73,11 +73,12 @@
 
 bool StoreWatcher::list()
 {
-    StoreResult<ObjectListing> listing = store_.listKind(settings_.kind, settings_.mode);
+    StoreResult<ObjectListing> listing = store_.listKind(settings_.kind, listingMode_);
     if (!listing || isOutdated(listing->era)) {
         return false;
     }
     hasListing_ = true;
+    listingMode_ = settings_.mode;
     era_ = std::max(era_, listing->era);
     setPosition(listing->revision);
     listing->era = era_;
--- a/src/discovery/storewatcher.h
+++ b/src/discovery/storewatcher.h
@@ -22,7 +22,7 @@
     Millis watchTimeout;
     /** Changes that follow one another within this time are delivered in one batch, which costs less. */
     Millis batchInterval;
-    ReadMode mode = ReadMode::Latest;
+    ReadMode mode = ReadMode::Latest; ///< Of all reads but the first listing, which is always up to date.
     /**
      * Kind that another watcher waits for in longer calls; empty for none. It is listed once more when such a call may
      * have been lost: after an outage, and after changes of the store that this watcher doesn't see.
@@ -89,6 +89,7 @@
     bool stopping_ = false;
     bool available_ = true;
     bool hasListing_ = false;
+    ReadMode listingMode_ = ReadMode::Latest; ///< Of the next listing.
     bool needsRecheck_ = false;
     bool hadFailure_ = false; ///< A call failed since the last recheck, so the other watcher's call may be lost.
     std::uint64_t revision_ = 0;
--- a/src/mesh/autotests/checkinhandlertest.cpp
+++ b/src/mesh/autotests/checkinhandlertest.cpp
@@ -81,6 +81,78 @@
     mesh.awaitStatus(200);
 }
 
+TEST_CASE("CheckInHandler: a server that has left gets no work if its daemon restarts and stale reads don't show it")
+{
+    // Guards against requests to a server whose leave or drain was acknowledged: its daemon restarted, read the servers
+    // from a replica that lagged behind, and took a late heartbeat for a start.
+    Mesh mesh;
+    REQUIRE(mesh.report(*mesh.desk, mesh.desk->report(1, "ready")) == 200);
+    mesh.awaitStatus(200);
+    mesh.store->setFaults({false, {}, 0, true});
+    const auto restart = [&] {
+        mesh.desk->restartDaemon();
+        SUBCASE("only the daemon beside it restarts")
+        {
+        }
+        SUBCASE("all daemons restart")
+        {
+            mesh.front->restartDaemon();
+        }
+    };
+    SUBCASE("it has left")
+    {
+        REQUIRE(mesh.report(*mesh.desk, "leave desk-1 " + std::to_string(kServerStart)) == 200);
+        restart();
+    }
+    SUBCASE("it drains")
+    {
+        REQUIRE(mesh.report(*mesh.desk, mesh.desk->report(3, "draining")) == 200);
+        restart();
+    }
+    const int before = mesh.desk->handler.runs;
+    CHECK(mesh.report(*mesh.desk, mesh.desk->report(2, "ready")) == 200);
+    for (int i = 0; i < 30; ++i) {
+        CHECK(mesh.call("late").status == 503);
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    CHECK(mesh.desk->handler.runs == before);
+    // A later process of the same name is in use at once.
+    mesh.store->setFaults({});
+    CHECK(mesh.report(*mesh.desk, mesh.desk->report(1, "ready") + " " + std::to_string(kServerStart + 1)) == 200);
+    mesh.awaitStatus(200);
+}
+
+TEST_CASE("CheckInHandler: a daemon that restarts without the store doesn't take another daemon's old copy for proof")
+{
+    // Guards against requests to a server whose leave was acknowledged: the store went away before the other daemons
+    // learned of it, and the restarted daemon had its directory from one of them.
+    Mesh mesh;
+    REQUIRE(mesh.report(*mesh.front, mesh.front->report(1, "ready")) == 200);
+    REQUIRE(mesh.report(*mesh.desk, mesh.desk->report(1, "ready")) == 200);
+    mesh.awaitStatus(200);
+    mesh.store->setFaults({false, {}, 0, true});
+    REQUIRE(mesh.report(*mesh.desk, "leave desk-1 " + std::to_string(kServerStart)) == 200);
+    mesh.store->setFaults({true, {}, 0, true});
+    const int before = mesh.desk->handler.runs;
+    mesh.desk->restartDaemon();
+    CHECK(mesh.report(*mesh.desk, mesh.desk->report(2, "ready")) == 200);
+    const auto isReady = [&] { return mesh.send(mesh.desk->settings.ready, {"GET", "/", {}, ""}).status == 200; };
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (!isReady() && std::chrono::steady_clock::now() < end) {
+        CHECK(mesh.call("late").status == 503);
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    CHECK(isReady());
+    for (int i = 0; i < 30; ++i) {
+        CHECK(mesh.call("late").status == 503);
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    CHECK(mesh.desk->handler.runs == before);
+    mesh.store->setFaults({});
+    CHECK(mesh.report(*mesh.desk, mesh.desk->report(1, "ready") + " " + std::to_string(kServerStart + 1)) == 200);
+    mesh.awaitStatus(200);
+}
+
 TEST_CASE("CheckInHandler: a late leave notice of an earlier process changes nothing")
 {
     // Guards against a sound server that gets no requests any more because its predecessor's notice was late.
--- a/src/mesh/checkinhandler.cpp
+++ b/src/mesh/checkinhandler.cpp
@@ -57,11 +57,15 @@
         respond(protocol_.reject());
         return;
     case CheckInResult::Stale:
+        respond(protocol_.acknowledge());
+        return;
     case CheckInResult::Unchanged:
+        callbacks_.received();
         respond(protocol_.acknowledge());
         return;
     case CheckInResult::Started:
     case CheckInResult::Changed:
+        callbacks_.received();
         break;
     }
     callbacks_.serverChanged(result);
--- a/src/mesh/checkinhandler.h
+++ b/src/mesh/checkinhandler.h
@@ -23,6 +23,8 @@
 {
 public:
     struct Callbacks {
+        /** A check-in of the present local server arrives. */
+        std::function<void()> received;
         /** The local server has changed; @p result is Started or Changed. */
         std::function<void(CheckInResult result)> serverChanged;
         /** Writes the registration of the local server to the store. */
--- a/src/mesh/meshdaemon.cpp
+++ b/src/mesh/meshdaemon.cpp
@@ -123,7 +123,7 @@
     , calls(services, *protocols.callers, settings.service)
     , deployment(
           context.get_executor(), *protocols.store, client, clock, routingRandom,
-          {settings.peers, protocols.configuration->key(), {}},
+          {settings.peers, protocols.configuration->key(), {}, true},
           {[this](const std::string &value, std::uint64_t, StoreHistory history) {
                return adoptConfiguration(value, history);
            },
@@ -154,7 +154,7 @@
           },
           [this](const HostAddress &sender) { deployment.recordContact(sender); })
     , checkIns(context, localServer, *protocols.checkIns, settings.checkInTimeout,
-               {[this](CheckInResult result) { serverChanged(result); },
+               {[this] { deployment.recordCheckIn(); }, [this](CheckInResult result) { serverChanged(result); },
                 [this](RegistrationWriter::Done done) { deployment.publish(std::move(done)); },
                 [this](const ServerName &name, std::int64_t serverStartedAt, RegistrationWriter::Done done) {
                     deployment.retire(registration.left(name, serverStartedAt), std::move(done));
@@ -192,8 +192,7 @@
     if (drainSequence.isDetached()) {
         return ErrorKind::Draining;
     }
-    // Until the directory is known, this process can't know whether the server that checked in has left.
-    return deployment.hasDirectory() ? localServer.refusal(target) : std::optional(ErrorKind::Misdirected);
+    return deployment.knowsLeaves() ? localServer.refusal(target) : std::optional(ErrorKind::Misdirected);
 }
 
 bool MeshDaemon::Private::isLeaving(const ServerName &target) const
--- a/src/platform/memoryobjectstore.cpp
+++ b/src/platform/memoryobjectstore.cpp
@@ -29,6 +29,9 @@
 void MemoryObjectStore::setFaults(const StoreFaults &faults)
 {
     const Lock lock(mutex_);
+    if (faults.delaysStaleReads && !faults_.delaysStaleReads) {
+        stale_ = state_;
+    }
     faults_ = faults;
     changed_.notify_all();
 }
@@ -78,13 +81,14 @@
     });
 }
 
-StoreResult<ObjectListing> MemoryObjectStore::listKind(const std::string &kind, ReadMode /*mode*/)
+StoreResult<ObjectListing> MemoryObjectStore::listKind(const std::string &kind, ReadMode mode)
 {
     return read<ObjectListing>([&]() -> StoreResult<ObjectListing> {
         const std::string prefix = prefixOf(kind);
-        ObjectListing listing{{}, state_.revision, era_};
-        for (auto entry = state_.objects.lower_bound(prefix);
-             entry != state_.objects.end() && entry->first.starts_with(prefix); ++entry) {
+        const State &state = stateFor(mode);
+        ObjectListing listing{{}, state.revision, era_};
+        for (auto entry = state.objects.lower_bound(prefix);
+             entry != state.objects.end() && entry->first.starts_with(prefix); ++entry) {
             listing.objects.push_back({entry->first, entry->second});
         }
         return listing;
@@ -92,22 +96,24 @@
 }
 
 StoreResult<ChangeBatch> MemoryObjectStore::watchKind(const std::string &kind, std::uint64_t revision, Millis timeout,
-                                                      ReadMode /*mode*/)
+                                                      ReadMode mode)
 {
     Lock lock(mutex_);
     if (!simulateDelay(lock)) {
         return tl::unexpected(StoreError::Unavailable);
     }
     changed_.wait_for(lock, toChrono(timeout), [&] {
-        return !isReachable() || isHistoryLost(revision) || !changesOf(kind, revision).changes.empty();
+        const State &state = stateFor(mode);
+        return !isReachable() || isHistoryLost(state, revision) || !changesOf(state, kind, revision).changes.empty();
     });
     if (!isReachable()) {
         return tl::unexpected(StoreError::Unavailable);
     }
-    if (isHistoryLost(revision)) {
+    const State &state = stateFor(mode);
+    if (isHistoryLost(state, revision)) {
         return tl::unexpected(StoreError::HistoryLost);
     }
-    return changesOf(kind, revision);
+    return changesOf(state, kind, revision);
 }
 
 StoreResult<void> MemoryObjectStore::remove(const std::string &key, std::uint64_t expectedVersion)
@@ -149,9 +155,15 @@
     changed_.notify_all();
 }
 
-bool MemoryObjectStore::isHistoryLost(std::uint64_t revision) const
+const MemoryObjectStore::State &MemoryObjectStore::stateFor(ReadMode mode) const
+{
+    return mode == ReadMode::MayBeStale && faults_.delaysStaleReads ? stale_ : state_;
+}
+
+bool MemoryObjectStore::isHistoryLost(const State &state, std::uint64_t revision) const
 {
-    return revision < state_.historyStart || revision > state_.revision;
+    // A stale read may come from before the revision.
+    return revision < state.historyStart || revision > state_.revision;
 }
 
 void MemoryObjectStore::recordChange(const std::string &key, const StoredObject &object, bool removed)
@@ -165,11 +177,11 @@
     changed_.notify_all();
 }
 
-ChangeBatch MemoryObjectStore::changesOf(const std::string &kind, std::uint64_t revision) const
+ChangeBatch MemoryObjectStore::changesOf(const State &state, const std::string &kind, std::uint64_t revision) const
 {
-    ChangeBatch batch{{}, state_.revision, era_};
+    ChangeBatch batch{{}, state.revision, era_};
     const std::string prefix = prefixOf(kind);
-    for (const ObjectChange &change : state_.history) {
+    for (const ObjectChange &change : state.history) {
         if (change.revision > revision && change.key.starts_with(prefix)) {
             batch.changes.push_back(change);
         }
--- a/src/platform/memoryobjectstore.h
+++ b/src/platform/memoryobjectstore.h
@@ -64,11 +64,13 @@
     /** Waits for the simulated delay, at most the call timeout; false if the call timed out. */
     bool simulateDelay(Lock &lock);
     bool isReachable() const;
+    /** What a read sees. */
+    const State &stateFor(ReadMode mode) const;
     /** Whether the store no longer has, or never had, the changes after @p revision. */
-    bool isHistoryLost(std::uint64_t revision) const;
+    bool isHistoryLost(const State &state, std::uint64_t revision) const;
     StoreResult<std::uint64_t> put(const std::string &key, const std::string &value, std::uint64_t expectedVersion);
     void recordChange(const std::string &key, const StoredObject &object, bool removed);
-    ChangeBatch changesOf(const std::string &kind, std::uint64_t revision) const;
+    ChangeBatch changesOf(const State &state, const std::string &kind, std::uint64_t revision) const;
 
     Millis callTimeout_;
     mutable std::mutex mutex_;
@@ -77,6 +79,7 @@
     bool interrupted_ = false;
     State state_;
     State copy_; ///< For returnToCopy().
+    State stale_; ///< What stale reads see while they are delayed.
     std::uint64_t era_ = 1;
 };
 
