An empty table of teams lets no key in; whether keys are needed has one owner

Cause: an empty list of teams stood for "no table" and for "a table without teams". The identifier, the caller's description and the comparison of versions inferred from it that no keys are needed; teams.md said the same.

Change: TeamTable owns whether keys are needed. The tests that set teams do so through TeamTable; their checks are the same.

--- a/src/config/autotests/requestrankstest.cpp
+++ b/src/config/autotests/requestrankstest.cpp
@@ -13,9 +13,11 @@
     for (const int priority : routePriorities) {
         configuration.routes.emplace_back().priority = priority;
     }
+    std::vector<Team> teams;
     for (const int priority : teamPriorities) {
-        configuration.teams.emplace_back().priority = priority;
+        teams.emplace_back().priority = priority;
     }
+    configuration.teams = TeamTable(std::move(teams));
     return configuration;
 }
 
@@ -41,14 +43,14 @@
     const RequestRanks ranks(configuration);
     const Route &first = configuration.routes[0];
     const Route &last = configuration.routes[1];
-    const Team &middle = configuration.teams[0];
-    const Team &top = configuration.teams[1];
-    const Team &bottom = configuration.teams[2];
+    const Team &middle = configuration.teams.all()[0];
+    const Team &top = configuration.teams.all()[1];
+    const Team &bottom = configuration.teams.all()[2];
     CHECK(ranks.count() == 12);
     CHECK(ranks.rankOf(first, &top) == 11);
     CHECK(ranks.rankOf(last, &top) == 8);
     CHECK(ranks.rankOf(first, &middle) == 7);
-    CHECK(ranks.rankOf(first, &configuration.teams[3]) == 7);
+    CHECK(ranks.rankOf(first, &configuration.teams.all()[3]) == 7);
     CHECK(ranks.rankOf(last, &middle) == 4);
     CHECK(ranks.rankOf(first, &bottom) == 3);
     CHECK(ranks.rankOf(last, &bottom) == 0);
--- a/src/config/autotests/routeconfigurationreviewtest.cpp
+++ b/src/config/autotests/routeconfigurationreviewtest.cpp
@@ -41,7 +41,7 @@
     configuration.version = ConfigVersion(3);
     configuration.routes = {route("browse", "/browse/"), route("pay", "/pay/")};
     configuration.services = {{ServiceName("desk"), "/health", 100}};
-    configuration.teams = {team("red", {"red-key-1", "red-key-2"}, 20)};
+    configuration.teams = TeamTable({team("red", {"red-key-1", "red-key-2"}, 20)});
     return configuration;
 }
 
@@ -87,9 +87,14 @@
     }
     SUBCASE("team without a key")
     {
-        configuration.teams[0].keys.clear();
+        configuration.teams = TeamTable({team("red", {}, 20)});
         entry = "team red";
     }
+    SUBCASE("table of teams without a team")
+    {
+        configuration.teams = TeamTable(std::vector<Team>());
+        entry = "teams";
+    }
     SUBCASE("service that is not listed")
     {
         configuration.routes[1].targets = {{ServiceName("till"), 1}};
@@ -104,7 +109,9 @@
     }
     SUBCASE("allotment without a burst")
     {
-        configuration.teams[0].allotment.burst = 0;
+        Team red = configuration.teams.all()[0];
+        red.allotment.burst = 0;
+        configuration.teams = TeamTable({red});
         kind = Kind::Contradiction;
         entry = "team red";
     }
@@ -129,8 +136,7 @@
 
     after.routes.pop_back();
     after.routes[0].timeout = Millis{1000};
-    after.teams[0].keys.pop_back();
-    after.teams[0].allotment = {RequestRate{10}, 10};
+    after.teams = TeamTable({team("red", {"red-key-1"}, 10)});
     const RouteConfigurationDifference difference = compareRouteConfigurations(before, after);
     CHECK(contains(difference.changes, "- route pay"));
     CHECK(contains(difference.changes, "~ team red"));
@@ -142,7 +148,26 @@
     CHECK_FALSE(contains(difference.changes, "red-key"));
     CHECK_FALSE(contains(difference.losses, "red-key"));
 
-    after.teams[0].keys.clear();
+    after.teams = TeamTable({team("red", {}, 10)});
     CHECK(contains(compareRouteConfigurations(before, after).losses, "all callers of red get 401"));
     CHECK(compareRouteConfigurations(after, before).losses.empty());
 }
+
+TEST_CASE("compareRouteConfigurations: a table without teams takes access away, no table gives it")
+{
+    // Guards against an operator who is told that nothing is lost by a version that refuses all callers.
+    RouteConfiguration withoutTable = sound();
+    withoutTable.teams = TeamTable();
+    withoutTable.routes[0].isPublic = true;
+    RouteConfiguration emptyTable = withoutTable;
+    emptyTable.teams = TeamTable(std::vector<Team>());
+    emptyTable.routes[0].isPublic = false;
+    const RouteConfigurationDifference added = compareRouteConfigurations(withoutTable, emptyTable);
+    CHECK(contains(added.changes, "keys"));
+    CHECK(contains(added.losses, "callers without a key get 401"));
+    CHECK(contains(added.losses, "shop.example/browse/ without a key get 401"));
+    const RouteConfigurationDifference removed = compareRouteConfigurations(emptyTable, withoutTable);
+    CHECK(contains(removed.changes, "keys"));
+    CHECK(removed.losses.empty());
+    CHECK(contains(compareRouteConfigurations(sound(), emptyTable).losses, "all callers of red get 401"));
+}
--- a/src/config/requestranks.cpp
+++ b/src/config/requestranks.cpp
@@ -11,7 +11,7 @@
     for (const Route &route : configuration.routes) {
         routePriorityCount_ = std::max(routePriorityCount_, route.priority + 1);
     }
-    for (const Team &team : configuration.teams) {
+    for (const Team &team : configuration.teams.all()) {
         teamPriorities_.push_back(team.priority);
     }
     std::sort(teamPriorities_.begin(), teamPriorities_.end(), std::greater<>());
--- a/src/config/routeconfiguration.h
+++ b/src/config/routeconfiguration.h
@@ -3,7 +3,7 @@
 
 #include "core/ids.h"
 #include "core/millis.h"
-#include "teams/team.h"
+#include "teams/teamtable.h"
 
 #include <cstddef>
 #include <string>
@@ -61,7 +61,7 @@
     std::vector<Route> routes;
     std::vector<ServiceProfile> services;
     CallerLimits limits;
-    std::vector<Team> teams; ///< Empty if callers need no key.
+    TeamTable teams;
 
     friend bool operator==(const RouteConfiguration &, const RouteConfiguration &) = default;
 };
--- a/src/config/routeconfigurationdifference.cpp
+++ b/src/config/routeconfigurationdifference.cpp
@@ -71,10 +71,15 @@
                                    : fmt::format("{:g}/s, burst {:g}", allotment.rate.perSecond, allotment.burst);
 }
 
+std::string formatKeyNeed(const TeamTable &teams)
+{
+    return teams.needsKeys() ? "needed" : "not needed";
+}
+
 Entries teamsOf(const RouteConfiguration &configuration)
 {
     Entries entries;
-    for (const Team &team : configuration.teams) {
+    for (const Team &team : configuration.teams.all()) {
         entries[team.name.value()] = {{"keys", fmt::format("{}", fmt::join(fingerprintsOf(team), " "))},
                                       {"priority", std::to_string(team.priority)},
                                       {"allotment", formatAllotment(team.allotment)}};
@@ -117,7 +122,7 @@
             losses.push_back("requests to " + place + " get 404");
             continue;
         }
-        if (route.isPublic && !next->isPublic && !after.teams.empty()) {
+        if (route.isPublic && !next->isPublic && after.teams.needsKeys()) {
             losses.push_back("requests to " + place + " without a key get 401");
         }
         if (route.idempotent && !next->idempotent) {
@@ -133,8 +138,8 @@
 void describeLostKeys(const RouteConfiguration &before, const RouteConfiguration &after,
                       std::vector<std::string> &losses)
 {
-    for (const Team &team : before.teams) {
-        const Team *next = findNamed(after.teams, team.name);
+    for (const Team &team : before.teams.all()) {
+        const Team *next = findNamed(after.teams.all(), team.name);
         const std::set<std::string> kept = next == nullptr ? std::set<std::string>{} : fingerprintsOf(*next);
         for (const std::string &fingerprint : fingerprintsOf(team)) {
             if (!kept.contains(fingerprint)) {
@@ -148,7 +153,7 @@
             losses.push_back("callers of " + team.name.value() + " get 429 beyond " + formatAllotment(next->allotment));
         }
     }
-    if (before.teams.empty() && !after.teams.empty()) {
+    if (!before.teams.needsKeys() && after.teams.needsKeys()) {
         losses.push_back("callers without a key get 401");
     }
 }
@@ -161,6 +166,7 @@
     RouteConfigurationDifference difference;
     compareEntries("route", routesOf(before), routesOf(after), difference.changes);
     compareEntries("service", servicesOf(before), servicesOf(after), difference.changes);
+    compareScalar("keys", formatKeyNeed(before.teams), formatKeyNeed(after.teams), difference.changes);
     compareEntries("team", teamsOf(before), teamsOf(after), difference.changes);
     compareLimits(before.limits, after.limits, difference.changes);
     describeLostRoutes(before, after, difference.losses);
--- a/src/config/routeconfigurationreview.cpp
+++ b/src/config/routeconfigurationreview.cpp
@@ -36,6 +36,7 @@
     void reviewTimes(const Route &route);
     void reviewServices();
     void reviewTeam(const Team &team);
+    void reviewTeams();
     void reviewLimits();
 
     const RouteConfiguration &configuration_;
@@ -147,6 +148,17 @@
     }
 }
 
+void Review::reviewTeams()
+{
+    const std::vector<Team> &teams = configuration_.teams.all();
+    if (configuration_.teams.needsKeys() && teams.empty()) {
+        add(Kind::NeverMatches, "teams", "there is none, so only callers of public routes are let in");
+    }
+    for (const Team &team : teams) {
+        reviewTeam(team);
+    }
+}
+
 void Review::reviewLimits()
 {
     const CallerLimits &limits = configuration_.limits;
@@ -169,9 +181,7 @@
         reviewRoute(route);
     }
     reviewServices();
-    for (const Team &team : configuration_.teams) {
-        reviewTeam(team);
-    }
+    reviewTeams();
     reviewLimits();
     return std::move(findings_);
 }
--- a/src/config/routetable.cpp
+++ b/src/config/routetable.cpp
@@ -19,7 +19,7 @@
 RouteTable::RouteTable(RouteConfiguration configuration, std::uint64_t keySeed)
     : configuration_(std::move(configuration))
     , ranks_(configuration_)
-    , keys_(configuration_.teams, keySeed)
+    , keys_(configuration_.teams.all(), keySeed)
 {
     for (const Route &route : configuration_.routes) {
         hosts_[normalizeHost(route.host)][route.pathPrefix] = &route;
--- a/src/mesh/autotests/routedteamtest.cpp
+++ b/src/mesh/autotests/routedteamtest.cpp
@@ -95,8 +95,18 @@
         routing.with([&](RoutingTable &table) { table.update(known); });
     }
 
-    /** Puts a configuration in force in which team red has @p keys. No keys: without teams. */
+    /** Puts a configuration in force in which team red has @p keys. */
     void configure(const std::vector<std::string> &keys)
+    {
+        Team team;
+        team.name = TeamName("red");
+        for (const std::string &key : keys) {
+            team.keys.emplace_back(key);
+        }
+        configureTeams(TeamTable({team}));
+    }
+
+    void configureTeams(TeamTable teams)
     {
         RouteConfiguration configuration;
         Route route;
@@ -112,14 +122,7 @@
         route.host = kPublicHost;
         route.isPublic = true;
         configuration.routes.push_back(route);
-        if (!keys.empty()) {
-            Team team;
-            team.name = TeamName("red");
-            for (const std::string &key : keys) {
-                team.keys.emplace_back(key);
-            }
-            configuration.teams.push_back(team);
-        }
+        configuration.teams = std::move(teams);
         handler.setRoutes(std::make_shared<const RouteTable>(std::move(configuration)));
     }
 
@@ -209,12 +212,33 @@
     CHECK(door.send("withdrawn", "k1") == 401);
     CHECK(door.send("added", "k2") == 200);
     CHECK(door.backend.runs == 4);
-    door.configure({});
+    door.configureTeams(TeamTable());
     CHECK(door.send("no-teams", "k1") == 200);
     CHECK(door.backend.last.find("Authorization") == "Bearer k1");
     CHECK(door.gate.asked == 2);
 }
 
+TEST_CASE("RoutedCallHandler: in a table without teams no key is valid, and none reaches a server")
+{
+    // Guards against withdrawn keys that work again, and are passed on, once the last team is withdrawn.
+    Door door;
+    door.configure({"k1"});
+    door.post(kHeldRequest, "k1");
+    door.runUntil([&] { return door.backend.runs == 1; });
+    door.configureTeams(TeamTable(std::vector<Team>()));
+    CHECK(door.send("withdrawn", "k1") == 401);
+    CHECK(door.send("none", "") == 401);
+    CHECK(door.backend.runs == 1);
+    CHECK(door.send("open", "k1", kPublicHost) == 200);
+    CHECK_FALSE(door.backend.last.find("Authorization").has_value());
+    CHECK(door.send(std::string(kHeldRequest) + ".1", "") == 200);
+    CHECK(door.send("unknown.1", "") == 503);
+    CHECK(door.gate.asked == 1);
+    door.backend.held({200, {}, ""});
+    door.runUntil([&] { return door.status[kHeldRequest] != 0; });
+    CHECK(door.status[kHeldRequest] == 200);
+}
+
 TEST_CASE("RoutedCallHandler: calls of the local server belong to the request that it runs, and need no key")
 {
     // Guards against work that is lost since its calls are refused, against calls that draw twice from an allotment,
--- a/src/mesh/calleridentity.cpp
+++ b/src/mesh/calleridentity.cpp
@@ -32,7 +32,7 @@
 Result<CallerIdentity> CallerIdentifier::identify(const RouteTable &routes, const Route &route,
                                                   const CallerRequestMetadata &metadata) const
 {
-    if (routes.configuration().teams.empty()) {
+    if (!routes.configuration().teams.needsKeys()) {
         return CallerIdentity{};
     }
     if (isNested(metadata)) {
--- a/src/mesh/calleridentity.h
+++ b/src/mesh/calleridentity.h
@@ -12,7 +12,7 @@
 /** Who makes a request. */
 struct CallerIdentity {
     const Team *team = nullptr; ///< Owned by the route table; null without a team.
-    bool isNested = false; ///< Made by the local backend server for a request of a deployment with teams.
+    bool isNested = false; ///< Made by the local backend server for a request of a deployment whose callers need keys.
 };
 
 /** Decides who makes a request, by the keys of the configuration in force. */
--- a/src/mesh/callerprotocol.h
+++ b/src/mesh/callerprotocol.h
@@ -22,7 +22,7 @@
 struct CallerDescription {
     ServiceName service; ///< Service that makes the call.
     std::optional<TeamName> team; ///< Team that the call belongs to; empty for nested calls and on public routes.
-    bool hidesCredential = false; ///< The configuration has teams, so no server may see what might be a key.
+    bool hidesCredential = false; ///< Callers need keys, so no server may see what might be one.
 };
 
 /** Format in which callers send requests and receive responses. */
--- a/src/mesh/meshdaemon.cpp
+++ b/src/mesh/meshdaemon.cpp
@@ -211,7 +211,7 @@
     }
     listeners.setLimits(routes->configuration().limits);
     calls.setRoutes(routes);
-    allotments.setTeams(routes->configuration().teams, deployment.directory());
+    allotments.setTeams(routes->configuration().teams.all(), deployment.directory());
     configureAdmission();
     return true;
 }
--- a/src/mesh/routedcallhandler.cpp
+++ b/src/mesh/routedcallhandler.cpp
@@ -191,7 +191,7 @@
 
 CallerDescription RoutedCallHandler::describe(const CallerIdentity &identity) const
 {
-    CallerDescription caller{caller_, {}, !routes_->configuration().teams.empty()};
+    CallerDescription caller{caller_, {}, routes_->configuration().teams.needsKeys()};
     if (identity.team != nullptr) {
         caller.team = identity.team->name;
     }
