Test mesh: a backend server is destroyed on the thread that uses its connections

Cause: the test mesh destroyed the HttpServer of a host, which empties the callbacks of its connections, while the thread of its io_context could be in one of them, since the connections of the daemon that ended just before close at that moment. test_mesh ended with a bus error in one of five runs today; the address was in the callback of ServerConnection::close(). Ruled out: the product, whose servers are destroyed after their threads (HttpServer's destructor says so). Trial: with 20 ms spent in the callback, three of three runs of three cases crashed before, none of three after.

--- a/src/mesh/autotests/testmesh.h
+++ b/src/mesh/autotests/testmesh.h
@@ -19,6 +19,7 @@
 #include <mutex>
 #include <thread>
 
+#include <asio/post.hpp>
 #include <doctest/doctest.h>
 
 namespace Hibiscus
@@ -230,6 +231,7 @@
     {
         daemon_->stop();
         thread_.join();
+        destroyServer();
     }
 
     /** Ends the daemon at once and starts another one in its place. The backend server keeps running. */
@@ -248,6 +250,7 @@
 
     void startServer()
     {
+        destroyServer();
         server_ = std::make_unique<HttpServer>(context_, HttpServerSettings{settings.backend}, handler);
         REQUIRE(server_->open().has_value());
     }
@@ -270,6 +273,17 @@
     std::atomic<bool> ended{false}; ///< The daemon's run() has returned.
 
 private:
+    /** Destroys the server on the thread that uses its connections, which may be closing at the same time. */
+    void destroyServer()
+    {
+        std::promise<void> destroyed;
+        asio::post(context_, [&] {
+            server_.reset();
+            destroyed.set_value();
+        });
+        destroyed.get_future().wait();
+    }
+
     void startDaemon()
     {
         MeshProtocols protocols;
