A connection decides once which request is its last, and says so

Cause: each response decided anew whether to announce the close, and did only if no request waited behind it. Both ways to close a connection in use did that: responses of a draining daemon, and the listener that closes 2.5 s after SIGTERM.

Change: acceptNoMoreRequests() makes the request that is being received, or else the last one received, the last one, as soon as a response or the server says that the connection closes. Input behind it is discarded and no activity.

--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -220,4 +220,10 @@
     }
 }
 
+std::size_t HttpServer::connectionCount() const
+{
+    const std::lock_guard lock(d_->mutex);
+    return d_->connections.size();
+}
+
 } // namespace Hibiscus
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -52,8 +52,11 @@
     ClientShare share() const;
     /** Stops accepting connections. Open ones end with their idle timeout or with the process. */
     void close();
-    /** Closes connections without a request in progress, now or after their last response. */
+    /** Closes connections without a request in progress. The others accept no further one, and close after their last
+     * response. */
     void closeIdleConnections();
+    /** Connections that are open, or closed on this side only while their clients read the last response. */
+    std::size_t connectionCount() const;
 
 private:
     class Private;
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -66,8 +66,8 @@
 void ServerConnection::closeWhenIdle()
 {
     post([](ServerConnection &self) {
-        self.closeWhenIdle_ = true;
-        if (self.pendingRequests_.empty() && !self.parser_.isInMessage() && self.writing_.empty()) {
+        self.acceptNoMoreRequests();
+        if (self.closing_ && self.pendingRequests_.empty() && self.writing_.empty()) {
             self.lingerThenClose();
         }
     });
@@ -144,12 +144,18 @@
         close();
         return;
     }
-    lastActivity_ = error ? lastActivity_ : clock_.now();
-    if (error || closing_) {
-        // Requests after the last response are discarded; the client resends them on another connection.
+    if (error) {
+        waitForInput();
+        return;
+    }
+    if (closing_) {
+        // The client resends what follows the last request on another connection. Until that has its response, a client
+        // is active only if it reads.
+        lastActivity_ = lingering_ ? clock_.now() : lastActivity_;
         waitForInput();
         return;
     }
+    lastActivity_ = clock_.now();
     if (input_.empty() && !parser_.isInMessage()) {
         messageStarted_ = lastActivity_;
         parser_.setLimits(settings_.limits);
@@ -181,7 +187,7 @@
     if (closed_) {
         return;
     }
-    input_.erase(0, offset);
+    input_.erase(0, closing_ ? input_.size() : offset);
     if (input_.empty()) {
         input_.shrink_to_fit();
     }
@@ -223,9 +229,7 @@
         std::make_shared<PendingRequest>(parser_.keepAlive(), isHeadMethod(request.method), lastActivity_, heldBytes);
     account_.addRequest(pending->requestBytes);
     pendingRequests_.push_back(pending);
-    if (!pending->keepAlive) {
-        closing_ = true;
-    }
+    closing_ = closing_ || closeRequested_ || !pending->keepAlive;
     if (handler_ == nullptr) {
         return false;
     }
@@ -244,10 +248,31 @@
     return !closed_;
 }
 
+/**
+ * Makes the request that is being received the last one, or if there is none the one before it. Its response announces
+ * the close. A client that always has one more request under way would otherwise never be told.
+ */
+void ServerConnection::acceptNoMoreRequests()
+{
+    closeRequested_ = true;
+    if (closing_ || parser_.isInMessage()) {
+        return;
+    }
+    closing_ = true;
+    std::string().swap(input_);
+    if (std::exchange(paused_, false)) {
+        // The end of the client is noticed while its requests are handled.
+        waitForInput();
+    }
+}
+
 void ServerConnection::setResponse(const std::shared_ptr<PendingRequest> &pending, HttpResponse response)
 {
     pending->setResponse(std::move(response));
     account_.addResponse(pending->requestBytes, pending->responseBytes);
+    if (pending->response->closesConnection) {
+        acceptNoMoreRequests();
+    }
     writeReadyResponses();
 }
 
@@ -269,9 +294,7 @@
         const std::shared_ptr<PendingRequest> pending = pendingRequests_.front();
         pendingRequests_.pop_front();
         // Every accepted request gets a response, so only the last response may announce the close.
-        const bool wantsClose = !pending->keepAlive || pending->response->closesConnection || closeWhenIdle_;
-        const bool isLast = wantsClose && pendingRequests_.empty() && !parser_.isInMessage();
-        closing_ = closing_ || isLast;
+        const bool isLast = closing_ && pendingRequests_.empty();
         account_.removeResponse(pending->responseBytes);
         appendResponse(output_, *pending->response, !isLast, pending->isHead);
     }
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -45,7 +45,8 @@
 
     void start();
 
-    /** Closes the connection if no request is in progress; otherwise the last response closes it. */
+    /** Closes the connection if no request is in progress. Otherwise no further one is accepted, and the last response
+     * closes it. */
     void closeWhenIdle();
 
     /** Closes the connection if it has exceeded a timeout. The server calls this periodically. */
@@ -65,6 +66,7 @@
     void readInput();
     void parseInput();
     bool dispatchRequest();
+    void acceptNoMoreRequests();
     void setResponse(const std::shared_ptr<PendingRequest> &pending, HttpResponse response);
     void reject(int status);
     void writeReadyResponses();
@@ -98,8 +100,8 @@
     bool parsing_ = false;
     bool paused_ = false; ///< Neither read nor parsed until the client has read.
     bool continueSent_ = false;
-    bool closing_ = false; ///< No more requests are read; the connection closes once output_ is written.
-    bool closeWhenIdle_ = false;
+    bool closeRequested_ = false; ///< No request is accepted after the one that is being received.
+    bool closing_ = false; ///< Input is discarded; the connection closes after the responses to pendingRequests_.
     bool lingering_ = false;
     bool closed_ = false;
 };
--- a/src/mesh/meshdaemon.cpp
+++ b/src/mesh/meshdaemon.cpp
@@ -300,12 +300,14 @@
     return configuration.routes() != nullptr && deployment.hasDirectory() && !drainSequence.hasBegun();
 }
 
-/** Whether nothing is in progress; a response is, until its client has been sent all of it. */
+/** Whether nothing is in progress; a response is, until its client has read all of it. The callers listener is closed.
+ */
 bool MeshDaemon::Private::isIdle() const
 {
     const HeldBytes held = clientBudget.held();
     const bool isWriting = held.queued + held.unread > 0;
-    return !isWriting && gateway.inFlight() + calls.activeCalls() + client.unfinishedUploads() == 0;
+    return !isWriting && listeners.connectionCount(kCallers) == 0
+        && gateway.inFlight() + calls.activeCalls() + client.unfinishedUploads() == 0;
 }
 
 DrainSequence::Steps MeshDaemon::Private::drainSteps()
--- a/src/mesh/meshlisteners.cpp
+++ b/src/mesh/meshlisteners.cpp
@@ -46,4 +46,10 @@
     }
 }
 
+std::size_t MeshListeners::connectionCount(const std::string &name) const
+{
+    const auto found = servers_.find(name);
+    return found == servers_.end() ? 0 : found->second->connectionCount();
+}
+
 } // namespace Hibiscus
--- a/src/mesh/meshlisteners.h
+++ b/src/mesh/meshlisteners.h
@@ -32,6 +32,9 @@
     /** Accepts no more connections on a listener, and closes its idle ones. */
     void close(const std::string &name);
 
+    /** Connections of a listener, with those whose clients still read the last response. */
+    std::size_t connectionCount(const std::string &name) const;
+
 private:
     asio::io_context &context_;
     ClientBudget &budget_;
