Broken responses of another daemon reach no caller: test

Looked at now: every other reader of a status. Servers, other daemons, health checks, allotments, exchanges, the store, hibiscusctl and the load program read responses through HttpClient alone; no message between daemons carries a status but its status line; stored responses and results are made from what that reader accepted.

--- a/src/mesh/autotests/brokenresponsetest.cpp
+++ b/src/mesh/autotests/brokenresponsetest.cpp
@@ -10,6 +10,7 @@
 namespace
 {
 
+constexpr int kStatusInternalError = 500;
 constexpr int kStatusBadGateway = 502;
 constexpr const char *kSoundResponse = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
 
@@ -135,3 +136,38 @@
     CHECK(response.headers.find("Trace") == "1");
     CHECK(response.body.empty());
 }
+
+TEST_CASE("MeshDaemon: a broken response of another daemon reaches no caller")
+{
+    // Guards against a status such as 000 that a daemon takes from another one, whose responses it trusts.
+    Mesh mesh;
+    ScriptedServer daemon(kSoundResponse, AfterScript::Close, HostAddress("127.0.0.1:0"),
+                          "/svc/desk" + std::string(ScriptedServer::kScriptedTarget));
+    ServerRegistration registration;
+    registration.name = ServerName("scripted-1");
+    registration.service = ServiceName("desk");
+    registration.domain = FailureDomainName("a");
+    registration.daemon = daemon.address();
+    registration.incarnation = Incarnation(7);
+    registration.slots = kSlots;
+    REQUIRE(mesh.store->create(std::string(kRegistrationKind) + "/scripted-1", serializeRegistration(registration))
+                .has_value());
+    const auto send = [&mesh](const std::string &name) {
+        HttpRequest request = scriptedRequest(name, kOnceHost);
+        request.headers.add(kTimeoutField, "500");
+        return mesh.send(mesh.front->settings.callers, std::move(request));
+    };
+    while (daemon.runs == 0) {
+        send("wait");
+    }
+    for (const BrokenResponse &broken : kBrokenResponses) {
+        CAPTURE(broken.name);
+        daemon.setBytes(broken.bytes);
+        const int runsBefore = daemon.runs;
+        const HttpResponse response = send(broken.name);
+        CHECK(daemon.runs == runsBefore + 1);
+        // The daemon states no outcome when it is asked for it, either.
+        CHECK(response.status == kStatusInternalError);
+        CHECK(response.body.find("part") == std::string::npos);
+    }
+}
