--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -67,7 +67,7 @@
 {
     post([](ServerConnection &self) {
         self.acceptNoMoreRequests();
-        if (self.closing_ && self.pendingRequests_.empty() && self.writing_.empty()) {
+        if (self.closing_ && self.pendingRequests_.empty() && self.output_.isEmpty()) {
             self.lingerThenClose();
         }
     });
@@ -100,7 +100,7 @@
     }
     if (!pendingRequests_.empty()) {
         const bool isStuck = now - pendingRequests_.front()->received > settings_.requestTimeout
-            || (!writing_.empty() && quiet > settings_.idleTimeout);
+            || (!output_.isEmpty() && quiet > settings_.idleTimeout);
         return isStuck ? Exceeded(ClientEnd::RequestTimeout) : std::nullopt;
     }
     if (parser_.isInMessage() && !parser_.isInBody() && now - messageStarted_ > settings_.headerTimeout) {
@@ -193,7 +193,7 @@
     }
     if (parser_.expectsContinue() && !continueSent_) {
         continueSent_ = true;
-        output_.append(kContinue);
+        output_.tail().append(kContinue);
         write();
     }
     updateAccount();
@@ -206,8 +206,7 @@
 /** Whether no more of the client's requests are read for now. */
 bool ServerConnection::isPaused() const
 {
-    return pendingRequests_.size() >= kMaximumPipelinedRequests
-        || output_.size() + writing_.size() > kMaximumUnreadBytes;
+    return pendingRequests_.size() >= kMaximumPipelinedRequests || output_.heldBytes() > kMaximumUnreadBytes;
 }
 
 void ServerConnection::resume()
@@ -296,7 +295,7 @@
         // Every accepted request gets a response, so only the last response may announce the close.
         const bool isLast = closing_ && pendingRequests_.empty();
         account_.removeResponse(pending->responseBytes);
-        appendResponse(output_, *pending->response, !isLast, pending->isHead);
+        appendResponse(output_.tail(), *pending->response, !isLast, pending->isHead);
     }
     write();
     updateAccount();
@@ -305,28 +304,25 @@
 
 void ServerConnection::write()
 {
-    if (!writing_.empty() || output_.empty() || closed_) {
-        return;
+    if (!closed_ && output_.beginSending()) {
+        writeSome();
     }
-    writing_ = std::exchange(output_, {});
-    writtenBytes_ = 0;
-    writeSome();
 }
 
 void ServerConnection::writeSome()
 {
     asio::error_code error;
-    const std::size_t size = socket_.write_some(asio::buffer(writing_) + writtenBytes_, error);
+    const std::size_t size = socket_.write_some(output_.unsent(), error);
     if (error && error != asio::error::would_block) {
         close();
         return;
     }
     if (!error) {
-        writtenBytes_ += size;
+        output_.consume(size);
         lastActivity_ = clock_.now();
         account_.recordProgress(size);
     }
-    if (writtenBytes_ == writing_.size()) {
+    if (output_.unsent().size() == 0) {
         onWriteFinished();
         return;
     }
@@ -339,9 +335,7 @@
 
 void ServerConnection::onWriteFinished()
 {
-    writing_.clear();
-    writing_.shrink_to_fit();
-    if (!output_.empty()) {
+    if (!output_.isEmpty()) {
         write();
         return;
     }
@@ -372,7 +366,7 @@
 
 ClientState ServerConnection::state() const
 {
-    if (!writing_.empty() || !output_.empty()) {
+    if (!output_.isEmpty()) {
         return ClientState::Unread;
     }
     if (!input_.empty() || parser_.isInMessage()) {
@@ -385,7 +379,7 @@
 void ServerConnection::updateAccount()
 {
     if (!parsing_) {
-        account_.update(input_.size() + parser_.heldBytes(), output_.size() + writing_.size(), state());
+        account_.update(input_.size() + parser_.heldBytes(), output_.heldBytes(), state());
     }
 }
 
@@ -407,8 +401,7 @@
     asio::error_code ignored;
     socket_.close(ignored);
     std::string().swap(input_);
-    std::string().swap(output_);
-    std::string().swap(writing_);
+    output_.clear();
     parser_.discard();
     account_.close(end);
     if (handler_ != nullptr) {
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -4,6 +4,7 @@
 #include "core/clock.h"
 #include "http/connectionaccount.h"
 #include "http/httphandler.h"
+#include "http/outputqueue.h"
 #include "http/pendingrequest.h"
 #include "http/requestparser.h"
 
@@ -89,9 +90,7 @@
     RequestParser parser_;
     std::string input_; ///< Bytes that were read and not parsed yet.
     std::deque<std::shared_ptr<PendingRequest>> pendingRequests_; ///< In the order of their arrival.
-    std::string output_;
-    std::string writing_;
-    std::size_t writtenBytes_ = 0; ///< Of writing_.
+    OutputQueue output_;
     ConnectionAccount account_;
     TimePoint lastActivity_;
     TimePoint messageStarted_;
