--- a/review/standins-3/standin.h
+++ b/review/standins-3/standin.h
@@ -867,6 +867,13 @@
         listener_.reset();
     }
 
+    /** Ends without a word. */
+    void fallSilent()
+    {
+        stopped_ = true;
+        stopListening();
+    }
+
     std::string answer(const Message &request, int status, const std::string &body) const
     {
         return response(status, answerFields(request), body);
