--- a/review/standins-3/large_uploads.cpp
+++ b/review/standins-3/large_uploads.cpp
@@ -226,6 +226,7 @@
     }
     const bool early = std::string(argv[4]) == "early";
     const bool trouble = std::string(argv[3]) != "0";
+    raiseDescriptorLimit();
     Record record(std::string(argv[1]) + "/record.txt");
     record.add(std::string("disruption: ")
                + (!trouble    ? "none"
--- a/review/standins-3/lost_lender.cpp
+++ b/review/standins-3/lost_lender.cpp
@@ -53,15 +53,17 @@
     }
 };
 
-/** Whether the daemon lends the allotment of the largest tenant, as its metrics say. */
-bool isLender(const Machine &machine)
+/** Requests a second of the largest tenant that holders report to this daemon, as its metrics say; 0 if there are none. */
+double lentDemand(const Machine &machine)
 {
+    const std::string name = std::string("hibiscus_team_lent_demand{team=\"") + kLargest + "\"} ";
     Connection connection;
     Message answer;
-    return connection.connect(machine.daemon.host().metrics, 1000)
+    const bool isAnswered = connection.connect(machine.daemon.host().metrics, 1000)
         && connection.write("GET /metrics HTTP/1.1\r\nHost: metrics\r\n\r\n")
-        && connection.readMessage(answer, nowMs() + 2000) == ReadResult::Complete
-        && answer.body.find(std::string("hibiscus_team_lent_demand{team=\"") + kLargest) != std::string::npos;
+        && connection.readMessage(answer, nowMs() + 2000) == ReadResult::Complete;
+    const std::size_t at = isAnswered ? answer.body.find(name) : std::string::npos;
+    return at == std::string::npos ? 0 : std::atof(answer.body.c_str() + at + name.size());
 }
 
 } // namespace
@@ -72,6 +74,7 @@
         return 2;
     }
     const std::string mode = argv[3]; // 0: nothing; 1: killed, and the lender is lost; 2: killed only
+    raiseDescriptorLimit();
     Record record(std::string(argv[1]) + "/record.txt");
     record.add(std::string("disruption: ")
                + (mode == "0"       ? "none"
@@ -145,8 +148,13 @@
     sleepMs(kBeforeMs);
     share = &between;
     std::size_t lost = machines.size();
+    double most = 0;
     for (std::size_t i = 0; i < machines.size(); ++i) {
-        lost = isLender(*machines[i]) ? i : lost;
+        const double demand = lentDemand(*machines[i]);
+        record.add(machines[i]->daemon.host().name + " lends to " + kLargest + " at a demand of "
+                   + std::to_string(demand) + " requests a second");
+        lost = demand > most ? i : lost;
+        most = std::max(most, demand);
     }
     if (mode != "0") {
         if (lost == machines.size()) {
--- a/review/standins-3/lost_machines.cpp
+++ b/review/standins-3/lost_machines.cpp
@@ -59,6 +59,7 @@
     }
     const bool trouble = std::string(argv[3]) != "0";
     const int count = std::atoi(argv[4]);
+    raiseDescriptorLimit();
     Record record(std::string(argv[1]) + "/record.txt");
     record.add(std::string("disruption: ")
                + (trouble ? std::to_string(count - 1) + " of the " + std::to_string(count)
--- a/review/standins-3/replaced_hosts.cpp
+++ b/review/standins-3/replaced_hosts.cpp
@@ -80,6 +80,7 @@
     const std::string folder = argv[1];
     const std::string work = argv[2];
     const bool trouble = std::string(argc > 3 ? argv[3] : "1") != "0";
+    raiseDescriptorLimit();
     Record record(folder + "/record.txt");
     record.add(std::string("disruption: ") + (trouble ? "machines are replaced" : "none"));
 
--- a/review/standins-3/standin.h
+++ b/review/standins-3/standin.h
@@ -2,6 +2,7 @@
 // They speak what the users' pages say, on loopback addresses and blocking sockets with one thread a connection.
 #pragma once
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
 #include <chrono>
@@ -46,6 +47,16 @@
     return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
 }
 
+/** Lets this process open as many descriptors as it may. To be called first. */
+inline void raiseDescriptorLimit()
+{
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+        limit.rlim_cur = limit.rlim_max;
+        ::setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
 inline void sleepMs(std::int64_t ms)
 {
     std::this_thread::sleep_for(std::chrono::milliseconds(ms));
@@ -93,22 +104,22 @@
     return address;
 }
 
-/** A port that is free on all loopback addresses at this moment; never returned twice. */
+/** A port that is free at this moment, below those that the system gives to outgoing connections; never returned twice. */
 inline int freePort()
 {
+    constexpr int kFirst = 10000;
+    constexpr int kCount = 22000;
     static std::mutex mutex;
-    static std::set<int> given;
+    static int next = static_cast<int>(::getpid()) * 101 % kCount;
     const std::lock_guard lock(mutex);
     while (true) {
+        next = (next + 1) % kCount;
         const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        sockaddr_in address = addressOf("127.0.0.1", 0);
-        ::bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof address);
-        socklen_t size = sizeof address;
-        ::getsockname(fd, reinterpret_cast<sockaddr *>(&address), &size);
+        const sockaddr_in address = addressOf("127.0.0.1", kFirst + next);
+        const bool isFree = ::bind(fd, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0;
         ::close(fd);
-        const int port = ntohs(address.sin_port);
-        if (given.insert(port).second) {
-            return port;
+        if (isFree) {
+            return kFirst + next;
         }
     }
 }
@@ -726,7 +737,10 @@
         pid_ = ::fork();
         if (pid_ == 0) {
             ::prctl(PR_SET_PDEATHSIG, SIGKILL); // It ends with the case, however that ends.
-            const rlimit limit{kMaximumDescriptors, kMaximumDescriptors};
+            rlimit limit{};
+            ::getrlimit(RLIMIT_NOFILE, &limit);
+            limit.rlim_cur = std::min(limit.rlim_max, kMaximumDescriptors);
+            limit.rlim_max = limit.rlim_cur;
             ::setrlimit(RLIMIT_NOFILE, &limit);
             const int out = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(out, 1);
