--- a/review/standins-3/kept_responses.cpp
+++ b/review/standins-3/kept_responses.cpp
@@ -1,5 +1,5 @@
-// Case: a service loses three of its four machines for good. The last one has room for all of its requests, which must not
-// be repeated. Figures of traffic, work, slots and answers are those of deposit-pay and deposit-desk in kitami-rafts.
+// Case: all processes are killed at the same moment, and three of the four machines of a service never come back. The last
+// one has room for all of its requests, which must not be repeated. Figures of traffic, work, slots and answers are those of deposit-pay and deposit-desk in kitami-rafts.
 #include "standin.h"
 
 using namespace StandIn;
@@ -15,6 +15,7 @@
 constexpr int kClients = 40;
 constexpr std::int64_t kIntervalMs = 261; ///< Between two requests of a client: 153 a second in all.
 constexpr std::int64_t kBeforeMs = 8000;
+constexpr std::int64_t kDownMs = 1200;
 constexpr std::int64_t kRecoveryMs = 15000; ///< `recovery`.
 constexpr std::int64_t kAfterMs = 78000;
 constexpr const char *kHost = "rafts.example";
@@ -63,7 +64,7 @@
     const bool trouble = std::string(argv[3]) != "0";
     raiseDescriptorLimit();
     Record record(std::string(argv[1]) + "/record.txt");
-    record.add(std::string("disruption: ") + (trouble ? "three of four machines of a service are lost for good" : "none"));
+    record.add(std::string("disruption: ") + (trouble ? "all processes are killed, and three of four machines of a service never come back" : "none"));
     Store store(newAddress());
     store.put("config", "main",
               configuration(7, kHost, {{"r-pay", "/deposits/", "deposit-desk", "unsafe", 5000, 1500, 0, 2}},
@@ -123,11 +124,23 @@
     sleepMs(kBeforeMs);
     share = &between;
     if (trouble) {
+        std::vector<Machine *> all{&entry};
+        for (const std::unique_ptr<Machine> &machine : machines) {
+            all.push_back(machine.get());
+        }
+        for (Machine *machine : all) {
+            machine->daemon.kill(SIGKILL);
+        }
         for (std::size_t i = 1; i < machines.size(); ++i) {
-            machines[i]->daemon.kill(SIGKILL);
             machines[i]->server.fallSilent();
         }
-        record.add("three of four machines are gone");
+        for (Machine *machine : all) {
+            machine->daemon.wait(3000);
+        }
+        sleepMs(kDownMs);
+        entry.daemon.start();
+        machines.front()->daemon.start();
+        record.add("the processes are back, but for three machines, which are gone");
     }
     machines.front()->most = 0;
     sleepMs(kRecoveryMs);
--- a/review/standins-3/standin.h
+++ b/review/standins-3/standin.h
@@ -417,6 +417,15 @@
         thread_ = std::thread([this] { run(); });
     }
 
+    /** Ends all connections, as when the process ends. */
+    void endConnections()
+    {
+        const std::lock_guard lock(open_->mutex);
+        for (const int fd : open_->descriptors) {
+            ::shutdown(fd, SHUT_RDWR);
+        }
+    }
+
     /** Closes the listening socket. Connections go on. */
     ~Listener()
     {
@@ -435,14 +444,27 @@
             }
             const int one = 1;
             ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-            std::thread([serve = serve_, fd] {
+            {
+                const std::lock_guard lock(open_->mutex);
+                open_->descriptors.insert(fd);
+            }
+            std::thread([serve = serve_, open = open_, fd] {
                 Connection connection(fd);
                 serve(connection);
+                const std::lock_guard lock(open->mutex);
+                open->descriptors.erase(fd);
+                connection.close();
             }).detach();
         }
     }
 
+    struct OpenConnections {
+        std::mutex mutex;
+        std::set<int> descriptors;
+    };
+
     Serve serve_;
+    std::shared_ptr<OpenConnections> open_ = std::make_shared<OpenConnections>();
     int fd_ = -1;
     std::thread thread_;
 };
@@ -842,11 +864,12 @@
     /** Handles a request of which only the head was read; false to close the connection. */
     using Handle = std::function<bool(Connection &, Message &)>;
 
-    Server(const Host &host, const std::string &id, int slots, Handle handle)
+    /** The clock of the machine is @p clockAheadMs ahead when the server starts. */
+    Server(const Host &host, const std::string &id, int slots, Handle handle, std::int64_t clockAheadMs = 0)
         : host_(host)
         , id_(id)
         , slots_(slots)
-        , born_(unixMs())
+        , born_(unixMs() + clockAheadMs)
         , handle_(std::move(handle))
         , listener_(std::make_unique<Listener>(host.server, [this](Connection &connection) { serve(connection); }))
         , beats_([this] { beat(); })
@@ -865,7 +888,11 @@
     /** Says that it drains; true once that is acknowledged. */
     bool drain()
     {
-        state_ = "draining";
+        {
+            const std::lock_guard lock(mutex_);
+            state_ = "draining";
+        }
+        isLeaving_ = true;
         return checkIn();
     }
 
@@ -881,6 +908,14 @@
         listener_.reset();
     }
 
+    /** Its process ends: nothing of it is sent or answered any more. */
+    void crash()
+    {
+        stopBeats();
+        listener_->endConnections();
+        stopListening();
+    }
+
     /** Ends without a word. */
     void fallSilent()
     {
@@ -895,7 +930,8 @@
     std::string answerFields(const Message &request) const
     {
         return "Hibiscusdale-Request-Id: " + request.field("Hibiscusdale-Request-Id")
-            + "\r\nHibiscusdale-Server-Seal: seal-" + id_ + "\r\nKeep-Alive: timeout=10\r\n";
+            + "\r\nHibiscusdale-Server-Seal: seal-" + id_ + "\r\nKeep-Alive: timeout=10\r\n"
+            + (isLeaving_ ? "Server-Leaving: 1\r\n" : "");
     }
 
 private:
@@ -904,7 +940,7 @@
         Message request;
         while (connection.readHead(request, kForever) == ReadResult::Complete) {
             if (request.target() == "/health") {
-                if (!connection.write(response(state_ == "ready" ? 200 : 503,
+                if (!connection.write(response(!isLeaving_ ? 200 : 503,
                                                "Hibiscusdale-Instance-Id: " + id_ + "\r\n", ""))) {
                     return;
                 }
@@ -968,6 +1004,7 @@
     Handle handle_;
     std::mutex mutex_;
     std::string state_ = "ready";
+    std::atomic<bool> isLeaving_{false};
     std::uint64_t sequence_ = 0;
     std::atomic<bool> stopped_{false};
     std::unique_ptr<Listener> listener_;
