--- a/review/standins-3/clock_back.cpp
+++ b/review/standins-3/clock_back.cc
@@ -1,6 +1,6 @@
 // Case: the clock of a machine is 2 s ahead and goes back. A server there starts, crashes and starts again under its id
 // within that time, so that its second start is the earlier one. Later it drains.
-#include "standin.h"
+#include "standin.hh"
 
 using namespace StandIn;
 
@@ -88,8 +88,7 @@
                 Message answer;
                 const bool isServed = (connection.isOpen() || connection.connect(to, 1000))
                     && connection.write(request("GET", "/slots/a", kHost, newRequestId(), 5000, 0))
-                    && connection.readMessage(answer, nowMs() + 6000) == ReadResult::Complete
-                    && answer.status() == 200;
+                    && connection.readMessage(answer, nowMs() + 6000) == ReadResult::Complete && answer.status() == 200;
                 ++(isServed ? served : failed);
                 if (!isServed) {
                     connection.close();
@@ -128,7 +127,8 @@
     int late = 0;
     for (const std::int64_t arrival : arrivals) {
         if (arrival > acknowledgedAt + kDrainMs) {
-            record.add("a request reaches server i-1 " + std::to_string(arrival - acknowledgedAt) + " ms after the ack");
+            record.add("a request reaches server i-1 " + std::to_string(arrival - acknowledgedAt)
+                       + " ms after the ack");
             ++late;
         }
     }
--- a/review/standins-3/kept_responses.cpp
+++ b/review/standins-3/kept_responses.cc
@@ -1,6 +1,7 @@
-// Case: all processes are killed at the same moment, and three of the four machines of a service never come back. The last
-// one has room for all of its requests, which must not be repeated. Figures of traffic, work, slots and answers are those of deposit-pay and deposit-desk in kitami-rafts.
-#include "standin.h"
+// Case: all processes are killed at the same moment, and three of the four machines of a service never come back. The
+// last one has room for all of its requests, which must not be repeated. Figures of traffic, work, slots and answers
+// are those of deposit-pay and deposit-desk in kitami-rafts.
+#include "standin.hh"
 
 using namespace StandIn;
 
@@ -64,7 +65,9 @@
     const bool trouble = std::string(argv[3]) != "0";
     raiseDescriptorLimit();
     Record record(std::string(argv[1]) + "/record.txt");
-    record.add(std::string("disruption: ") + (trouble ? "all processes are killed, and three of four machines of a service never come back" : "none"));
+    record.add(
+        std::string("disruption: ")
+        + (trouble ? "all processes are killed, and three of four machines of a service never come back" : "none"));
     Store store(newAddress());
     store.put("config", "main",
               configuration(7, kHost, {{"r-pay", "/deposits/", "deposit-desk", "unsafe", 5000, 1500, 0, 2}},
@@ -152,8 +155,8 @@
     }
     for (const auto &[number, counted] : byTenSeconds) {
         if (counted.sent > 0) {
-            record.add(std::to_string(number * 10) + " to " + std::to_string(number * 10 + 10) + " s of the traffic: "
-                       + counted.text());
+            record.add(std::to_string(number * 10) + " to " + std::to_string(number * 10 + 10)
+                       + " s of the traffic: " + counted.text());
         }
     }
     record.add("the first machine is " + std::string(machines.front()->daemon.isReady() ? "ready" : "not ready")
--- a/review/standins-3/large_uploads.cpp
+++ b/review/standins-3/large_uploads.cc
@@ -1,8 +1,8 @@
-// Two cases of large uploads whose bodies the daemon holds for longer than their clients wait for it. The stand-in of the
-// platform kills a process that exceeds its memory, and other clients lose what they have asked for.
+// Two cases of large uploads whose bodies the daemon holds for longer than their clients wait for it. The stand-in of
+// the platform kills a process that exceeds its memory, and other clients lose what they have asked for.
 //   early: a server answers an upload before it has read it, keeps the connection and reads on some seconds later.
 //   leave: clients close their connections before the server has ended its work on their uploads.
-#include "standin.h"
+#include "standin.hh"
 
 using namespace StandIn;
 
@@ -147,8 +147,9 @@
             } else {
                 const std::lock_guard lock(mutex_);
                 const bool hasRun = run_.count(id) > 0;
-                record_.add("read " + id + (hasRun ? ": passed on to the server, connection ended without an answer"
-                                                   : ": connection ended, not passed on"));
+                record_.add("read " + id
+                            + (hasRun ? ": passed on to the server, connection ended without an answer"
+                                      : ": connection ended, not passed on"));
                 ++(hasRun ? tally_.readsLost : tally_.readsNotRun);
             }
             connection.close();
@@ -167,9 +168,9 @@
             const std::string id = newRequestId();
             Message answer;
             const bool sent = connection.write(request("POST", "/waivers/" + id, kHost, id, kTimeoutMs, kUploadBytes));
-            const ReadResult result =
-                sent ? connection.readMessage(answer, nowMs() + (leaves ? kLeaveAfterMs : kTimeoutMs + 1000))
-                     : ReadResult::Closed;
+            const ReadResult result = sent
+                ? connection.readMessage(answer, nowMs() + (leaves ? kLeaveAfterMs : kTimeoutMs + 1000))
+                : ReadResult::Closed;
             const std::string end = result == ReadResult::Complete ? std::to_string(answer.status())
                 : leaves && result == ReadResult::TimedOut         ? "the client left"
                                                                    : "no answer";
--- a/review/standins-3/lost_lender.cpp
+++ b/review/standins-3/lost_lender.cc
@@ -1,6 +1,6 @@
 // Case: all processes are killed at the same moment, and one machine of five never comes back: the one that lends the
 // allotment of the largest tenant. All other machines are back, with all services.
-#include "standin.h"
+#include "standin.hh"
 
 using namespace StandIn;
 
@@ -53,7 +53,8 @@
     }
 };
 
-/** Requests a second of the largest tenant that holders report to this daemon, as its metrics say; 0 if there are none. */
+/** Requests a second of the largest tenant that holders report to this daemon, as its metrics say; 0 if there are none.
+ */
 double lentDemand(const Machine &machine)
 {
     const std::string name = std::string("hibiscus_team_lent_demand{team=\"") + kLargest + "\"} ";
@@ -191,7 +192,10 @@
                    + std::to_string(counts.first) + " served");
     }
     for (const std::unique_ptr<Machine> &machine : machines) {
-        record.add(machine->daemon.host().name + (machine->isGone ? " is gone" : machine->daemon.isReady() ? " is ready" : " isn't ready"));
+        record.add(machine->daemon.host().name
+                   + (machine->isGone                 ? " is gone"
+                          : machine->daemon.isReady() ? " is ready"
+                                                      : " isn't ready"));
     }
     record.add("before: " + before.text());
     record.add("within recovery: " + between.text());
--- a/review/standins-3/lost_machines.cpp
+++ b/review/standins-3/lost_machines.cc
@@ -1,6 +1,6 @@
-// Case: a service loses all of its machines but one, for good and without a notice. Machines of another service go on and
-// ask for it.
-#include "standin.h"
+// Case: a service loses all of its machines but one, for good and without a notice. Machines of another service go on
+// and ask for it.
+#include "standin.hh"
 
 using namespace StandIn;
 
--- a/review/standins-3/replaced_hosts.cpp
+++ b/review/standins-3/replaced_hosts.cc
@@ -1,6 +1,7 @@
-// Case: the machines of a service are replaced, one after the other, by machines at new addresses. Each machine that goes
-// is drained and stopped as planned. The daemon of another machine passes ordinary requests on to them all the time.
-#include "standin.h"
+// Case: the machines of a service are replaced, one after the other, by machines at new addresses. Each machine that
+// goes is drained and stopped as planned. The daemon of another machine passes ordinary requests on to them all the
+// time.
+#include "standin.hh"
 
 using namespace StandIn;
 
@@ -21,8 +22,7 @@
 bool isAnswered(Connection &connection, const Address &to)
 {
     Message answer;
-    return connection.connect(to, 1000)
-        && connection.write(request("GET", "/slots/a", kHost, newRequestId(), 5000, 0))
+    return connection.connect(to, 1000) && connection.write(request("GET", "/slots/a", kHost, newRequestId(), 5000, 0))
         && connection.readMessage(answer, nowMs() + 1000) == ReadResult::Complete;
 }
 
@@ -126,8 +126,7 @@
                         continue;
                     }
                     Message answer;
-                    const bool sent =
-                        connection.write(request("GET", "/slots/a", kHost, newRequestId(), 5000, 0));
+                    const bool sent = connection.write(request("GET", "/slots/a", kHost, newRequestId(), 5000, 0));
                     if (!sent || connection.readMessage(answer, nowMs() + 5500) != ReadResult::Complete) {
                         ++unanswered;
                         connection.close();
@@ -220,11 +219,11 @@
     }
     const int readyAnswers = probe.ready - readyBefore;
     const int missedAnswers = probe.missed - missedBefore;
-    record.add(std::to_string(kTryingClients) + " clients tried for " + std::to_string(kTryMs) + " ms: "
-               + std::to_string(tries) + " new connections, " + std::to_string(taken) + " answered; GET /ready: "
-               + std::to_string(readyAnswers) + " times 200, " + std::to_string(missedAnswers) + " times not; "
-               + std::to_string(daemon.openDescriptors()) + " descriptors open of "
-               + std::to_string(Daemon::kMaximumDescriptors));
+    record.add(std::to_string(kTryingClients) + " clients tried for " + std::to_string(kTryMs)
+               + " ms: " + std::to_string(tries) + " new connections, " + std::to_string(taken)
+               + " answered; GET /ready: " + std::to_string(readyAnswers) + " times 200, "
+               + std::to_string(missedAnswers) + " times not; " + std::to_string(daemon.openDescriptors())
+               + " descriptors open of " + std::to_string(Daemon::kMaximumDescriptors));
     const bool broken = taken == 0 && tries >= 7 && readyAnswers >= 3 && missedAnswers == 0;
     for (std::thread &stop : stops) {
         stop.join();
--- a/review/standins-3/slow_readers.cpp
+++ b/review/standins-3/slow_readers.cc
@@ -1,6 +1,6 @@
-// Case: clients pipeline requests for large answers and read them slowly. The head of the last request comes in two parts,
-// a fifth of a second apart and well within "headerTimeout".
-#include "standin.h"
+// Case: clients pipeline requests for large answers and read them slowly. The head of the last request comes in two
+// parts, a fifth of a second apart and well within "headerTimeout".
+#include "standin.hh"
 
 using namespace StandIn;
 
@@ -127,8 +127,8 @@
             }
             record.add("client " + std::to_string(i) + ": " + std::to_string(answered) + " complete answers, "
                        + std::to_string(received.size()) + " bytes in " + std::to_string(nowMs() - begun) + " ms; "
-                       + (ended ? "the daemon closed the connection; " : "")
-                       + std::to_string(cut) + " requests were run and have no complete answer");
+                       + (ended ? "the daemon closed the connection; " : "") + std::to_string(cut)
+                       + " requests were run and have no complete answer");
             complete += answered;
             lost += cut;
         });
--- a/review/standins-3/standin.h
+++ b/review/standins-3/standin.hh
@@ -104,7 +104,8 @@
     return address;
 }
 
-/** A port that is free at this moment, below those that the system gives to outgoing connections; never returned twice. */
+/** A port that is free at this moment, below those that the system gives to outgoing connections; never returned twice.
+ */
 inline int freePort()
 {
     constexpr int kFirst = 10000;
@@ -388,8 +389,8 @@
 
 inline std::string response(int status, const std::string &fields, const std::string &body)
 {
-    return "HTTP/1.1 " + std::to_string(status) + " Status\r\n" + fields + "Content-Length: "
-        + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return "HTTP/1.1 " + std::to_string(status) + " Status\r\n" + fields
+        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 inline std::string jsonResponse(int status, const std::string &body, const std::string &fields = "")
@@ -639,12 +640,12 @@
         for (const auto &[name, object] : kinds_[kind]) {
             items += (items.empty() ? "" : ",") + describe(name, object);
         }
-        return jsonResponse(200, "{\"items\":[" + items + "],\"more\":false,\"storeRevision\":"
-                                + std::to_string(revision_) + "}", era());
+        return jsonResponse(
+            200, "{\"items\":[" + items + "],\"more\":false,\"storeRevision\":" + std::to_string(revision_) + "}",
+            era());
     }
 
-    std::string write(const Message &request, const std::string &target, const std::string &kind,
-                      std::string name)
+    std::string write(const Message &request, const std::string &target, const std::string &kind, std::string name)
     {
         const std::string metadata = jsonMember(request.body, "metadata");
         const std::string spec = jsonMember(request.body, "spec");
@@ -685,13 +686,14 @@
             for (const Event &event : events_) {
                 if (event.kind == kind && event.revision > from) {
                     events += (events.empty() ? "" : ",") + std::string("{\"deleted\":")
-                        + (event.deleted ? "true" : "false") + ",\"object\":" + describe(event.name, event.object) + "}";
+                        + (event.deleted ? "true" : "false") + ",\"object\":" + describe(event.name, event.object)
+                        + "}";
                 }
             }
             const std::int64_t left = until - nowMs();
             if (!events.empty() || left <= 0) {
-                return jsonResponse(200, "{\"events\":[" + events + "],\"storeRevision\":"
-                                        + std::to_string(revision_) + "}", era());
+                return jsonResponse(
+                    200, "{\"events\":[" + events + "],\"storeRevision\":" + std::to_string(revision_) + "}", era());
             }
             changed_.wait_for(lock, std::chrono::milliseconds(left));
         }
@@ -940,8 +942,8 @@
         Message request;
         while (connection.readHead(request, kForever) == ReadResult::Complete) {
             if (request.target() == "/health") {
-                if (!connection.write(response(!isLeaving_ ? 200 : 503,
-                                               "Hibiscusdale-Instance-Id: " + id_ + "\r\n", ""))) {
+                if (!connection.write(
+                        response(!isLeaving_ ? 200 : 503, "Hibiscusdale-Instance-Id: " + id_ + "\r\n", ""))) {
                     return;
                 }
                 continue;
@@ -972,11 +974,11 @@
     bool checkIn()
     {
         const std::lock_guard lock(mutex_);
-        return report("heartbeat", "{\"service\":\"" + host_.service + "\",\"address\":\"" + host_.server.text()
-                                       + "\",\"zone\":\"" + host_.zone + "\",\"version\":\"v1\",\"slots\":"
-                                       + std::to_string(slots_) + ",\"state\":\"" + state_
-                                       + "\",\"coldLeft\":\"0ms\",\"sequence\":" + std::to_string(++sequence_)
-                                       + ",\"born\":" + std::to_string(born_) + "}");
+        return report("heartbeat",
+                      "{\"service\":\"" + host_.service + "\",\"address\":\"" + host_.server.text() + "\",\"zone\":\""
+                          + host_.zone + "\",\"version\":\"v1\",\"slots\":" + std::to_string(slots_) + ",\"state\":\""
+                          + state_ + "\",\"coldLeft\":\"0ms\",\"sequence\":" + std::to_string(++sequence_)
+                          + ",\"born\":" + std::to_string(born_) + "}");
     }
 
     void beat()
@@ -1047,9 +1049,9 @@
     for (const RouteText &route : routes) {
         text += std::string(first ? "" : ",") + "\"" + route.name + "\":{\"host\":\"" + host + "\",\"pathPrefix\":\""
             + route.path + "\",\"kind\":\"" + route.kind + "\",\"timeout\":\"" + std::to_string(route.timeoutMs)
-            + "ms\",\"targetLatency\":\"" + std::to_string(route.targetMs) + "ms\",\"priority\":"
-            + std::to_string(route.priority) + ",\"service\":\"" + route.service + "\",\"attempts\":"
-            + std::to_string(route.attempts) + "}";
+            + "ms\",\"targetLatency\":\"" + std::to_string(route.targetMs)
+            + "ms\",\"priority\":" + std::to_string(route.priority) + ",\"service\":\"" + route.service
+            + "\",\"attempts\":" + std::to_string(route.attempts) + "}";
         first = false;
     }
     text += "},\"services\":{";
@@ -1059,8 +1061,10 @@
             + "\":{\"healthPath\":\"/health\",\"maxConnections\":1996,\"protocol\":\"h1\",\"tls\":false}";
         first = false;
     }
-    return text + "},\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,\"headerTimeout\":\"3000ms\","
-                  "\"idleTimeout\":\"15000ms\"}" + more + "}";
+    return text
+        + "},\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,\"headerTimeout\":\"3000ms\","
+          "\"idleTimeout\":\"15000ms\"}"
+        + more + "}";
 }
 
 } // namespace StandIn
--- a/review/standins-3/steady_readers.cpp
+++ b/review/standins-3/steady_readers.cc
@@ -1,5 +1,5 @@
 // Case: clients on narrow links each download one large answer. They read all the time, a little in each step.
-#include "standin.h"
+#include "standin.hh"
 
 using namespace StandIn;
 
